Keep a leaving VM from owning buckets again

Cause: a VM that was leaving and missed a probe became suspected, and a suspected VM counts as eligible. Packets of its former buckets went nowhere until it was declared dead; held feeds fell silent for up to 4 s.

Ruled out: the client's own retransmission timers; the packets were counted as relayed to the VM that had gone.

The transport now covers requests as well as datagrams, so that tests can replace all of it.

--- a/packages/savoryhaven/src/_savoryhaven/cli.py
+++ b/packages/savoryhaven/src/_savoryhaven/cli.py
@@ -8,9 +8,12 @@
 from cleo.commands import command as cleo_command
 from cleo.helpers import argument
 from cleo.helpers import option
+import pluggy
 
 from _savoryhaven import errors
 from _savoryhaven import logs
+from _savoryhaven import metrics
+from _savoryhaven import operator_api
 from _savoryhaven import plugins
 from _savoryhaven import settings as settings_module
 from _savoryhaven import vm
@@ -36,13 +39,13 @@
             return EXIT_USAGE
         try:
             settings = settings_module.read_settings(pathlib.Path(path))
-            plugins.load_plugins(settings.plugins)
+            manager = plugins.load_plugins(settings.plugins)
         except errors.SettingsError as exc:
             self.line_error(str(exc))
             return EXIT_USAGE
         logs.configure_logs(settings.log)
         try:
-            asyncio.run(_run_vm(settings))
+            asyncio.run(_run_vm(settings, manager))
         except OSError as exc:
             self.line_error(f'SH407: {exc}')
             return EXIT_FAILED
@@ -81,12 +84,27 @@
         return 0
 
 
-async def _run_vm(settings: settings_module.Settings) -> None:
-    entry_vm = vm.Vm(settings)
+async def _run_vm(
+    settings: settings_module.Settings, manager: pluggy.PluginManager
+) -> None:
+    entry_vm = vm.Vm(settings, manager)
+    meter = metrics.Meter(entry_vm.context)
+    api = operator_api.OperatorApi(
+        entry_vm.context,
+        entry_vm.configuration,
+        meter,
+        entry_vm.request_stop,
+        manager.hook.savoryhaven_dump,
+    )
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, entry_vm.request_stop)
-    await entry_vm.run()
+    await api.open()
+    try:
+        await entry_vm.run()
+    finally:
+        await api.close()
+        meter.close()
 
 
 def main() -> int:
--- a/packages/savoryhaven/src/_savoryhaven/configuration.py
+++ b/packages/savoryhaven/src/_savoryhaven/configuration.py
@@ -266,8 +266,14 @@
         self.announce()
 
     def announce(self) -> None:
-        """Tell some peers that there is something new."""
+        """Tell some peers that there is something new.
+
+        A VM that is still joining stays silent: who hears of it takes it
+        for an owner.
+        """
         context = self._context
+        if not context.serving:
+            return
         peers = context.members.list_peers()
         announcement = messages.Announcement(
             context.members.me, context.get_knowledge()
--- a/packages/savoryhaven/src/_savoryhaven/context.py
+++ b/packages/savoryhaven/src/_savoryhaven/context.py
@@ -37,6 +37,8 @@
     admission: admission_module.Admission
     counters: counters_module.Counters
     platform_reachable: bool = True
+    # Whether this VM has joined and may decide about packets.
+    serving: bool = False
     # Pinned flows, by service and key, that the successor doesn't know yet.
     pins_due: list[tuple[str, bytes]] = attrs.field(factory=list)
 
--- a/packages/savoryhaven/src/_savoryhaven/hooks.py
+++ b/packages/savoryhaven/src/_savoryhaven/hooks.py
@@ -132,8 +132,15 @@
         """Close the socket."""
 
 
+class Listener(typing.Protocol):
+    """Something bound that can be closed."""
+
+    async def close(self) -> None:
+        """Stop listening and drop open connections."""
+
+
 class Transport(typing.Protocol):
-    """How a VM sends and receives datagrams."""
+    """How a VM talks to the fabric and to other VMs."""
 
     async def open_datagrams(
         self,
@@ -142,6 +149,26 @@
     ) -> DatagramSocket:
         """Bind an address and call a function with each datagram."""
 
+    async def open_requests(
+        self,
+        address: addresses.Address,
+        handle: typing.Callable[[bytes], typing.Awaitable[bytes]],
+    ) -> Listener:
+        """Bind an address and answer each request with a function.
+
+        A function that raises ``SavoryhavenError`` ends the connection.
+        """
+
+    async def request(self, address: addresses.Address, data: bytes) -> bytes:
+        """Send a request and return its answer.
+
+        Requests to one address are answered in order. Raises ``PeerError``
+        ``SH403`` when there is no answer.
+        """
+
+    async def close(self) -> None:
+        """Close the connections that requests were sent over."""
+
 
 @hookspec
 def savoryhaven_protocols() -> list[FlowProtocol]:
--- a/packages/savoryhaven/src/_savoryhaven/inheritance.py
+++ b/packages/savoryhaven/src/_savoryhaven/inheritance.py
@@ -134,7 +134,16 @@
     def add_filter(
         self, data: bytes, view: placement.View, until: float
     ) -> None:
-        """Keep a filter; at the bound the one that ends first is dropped."""
+        """Keep a filter; at the bound the one that ends first is dropped.
+
+        The same filter comes from many peers, as each passes on what it
+        inherited itself.
+        """
+        for at, held in enumerate(self._filters):
+            if held.data == data and held.view == view:
+                longest = max(until, held.until)
+                self._filters[at] = attrs.evolve(held, until=longest)
+                return
         bloom = rbloom.Bloom.load_bytes(data, _hash_key) if data else None
         self._filters.append(InheritedFilter(data, view, until, bloom))
         if len(self._filters) > FILTERS_KEPT:
--- a/packages/savoryhaven/src/_savoryhaven/membership.py
+++ b/packages/savoryhaven/src/_savoryhaven/membership.py
@@ -171,10 +171,14 @@
         if held is None:
             return
         match held.record.state:
-            case _State.ALIVE | _State.LEAVING:
+            case _State.ALIVE:
                 self.merge(
                     attrs.evolve(held.record, state=_State.SUSPECT), now
                 )
+            case _State.LEAVING:
+                # It said that it would go. A suspected VM may own buckets,
+                # a leaving one must not.
+                self.merge(attrs.evolve(held.record, state=_State.DEAD), now)
 
     def expire(self, now: float) -> None:
         """Declare suspected VMs dead, and forget those long dead."""
@@ -192,6 +196,10 @@
         """Make this VM a leaving one."""
         self._set_own(attrs.evolve(self.me, state=_State.LEAVING), now)
 
+    def end(self, now: float) -> None:
+        """Make this VM a dead one, as its last news."""
+        self._set_own(attrs.evolve(self.me, state=_State.DEAD), now)
+
     def rejoin(self, epoch: int, now: float) -> None:
         """Make this VM a new member, after it was declared dead."""
         incarnation = self.me.incarnation + 1
@@ -277,6 +285,12 @@
         self._doubt_since: float | None = None
         self._confirmed_at = now
 
+    def restart(self, now: float) -> None:
+        """Trust this VM from now on: it starts, and nobody knows it yet."""
+        self._ticked_at = now
+        self._confirmed_at = now
+        self._doubt_since = None
+
     def tick(self, now: float) -> None:
         """Note that the process runs."""
         self._notice_pause(now)
--- a/packages/savoryhaven/src/_savoryhaven/peers.py
+++ b/packages/savoryhaven/src/_savoryhaven/peers.py
@@ -1,12 +1,8 @@
-"""Connections between entry VMs: datagrams, and websockets for the rest."""
+"""Typed messages to and from other entry VMs."""
 
-import asyncio
 import typing
 
 from loguru import logger
-import websockets
-from websockets.asyncio import client as websocket_client
-from websockets.asyncio import server as websocket_server
 
 from _savoryhaven import addresses
 from _savoryhaven import context as context_module
@@ -15,54 +11,11 @@
 from _savoryhaven import hooks
 from _savoryhaven import messages
 
-REQUEST_TIMEOUT_S = 2.0
-MESSAGE_LIMIT_BYTES = 16 * 1024 * 1024
-# Peers are on a local network; a ping every so often finds dead ones.
-PING_INTERVAL_S = 20.0
-
 Handle = typing.Callable[
     [messages.Message], typing.Awaitable[messages.Message]
 ]
 
 
-class _Link:
-    """One websocket to one peer, opened when it is first needed."""
-
-    def __init__(self, address: addresses.Address) -> None:
-        self._address = address
-        self._connection: websocket_client.ClientConnection | None = None
-        self._lock = asyncio.Lock()
-
-    async def request(self, data: bytes) -> bytes:
-        """Send a message and return the answer to it."""
-        async with self._lock:
-            try:
-                async with asyncio.timeout(REQUEST_TIMEOUT_S):
-                    return await self._exchange(data)
-            except BaseException:
-                # An answer that comes later would be taken for another's.
-                await self.close()
-                raise
-
-    async def _exchange(self, data: bytes) -> bytes:
-        if self._connection is None:
-            self._connection = await websocket_client.connect(
-                f'ws://{self._address}',
-                max_size=MESSAGE_LIMIT_BYTES,
-                ping_interval=PING_INTERVAL_S,
-                compression=None,
-                proxy=None,
-            )
-        await self._connection.send(data)
-        return await self._connection.recv(decode=False)
-
-    async def close(self) -> None:
-        """Close without waiting for the peer."""
-        connection, self._connection = self._connection, None
-        if connection is not None:
-            connection.transport.abort()
-
-
 class Peers:
     """Sends messages to other VMs and hands theirs to a handler."""
 
@@ -77,9 +30,8 @@
         self._transport: typing.Final = transport
         self._receive: typing.Final = receive
         self._handle: typing.Final = handle
-        self._links: dict[addresses.Address, _Link] = {}
         self._socket: hooks.DatagramSocket | None = None
-        self._server: websocket_server.Server | None = None
+        self._server: hooks.Listener | None = None
 
     async def open(self) -> None:
         """Bind the peer address for datagrams and websockets."""
@@ -88,22 +40,15 @@
         self._socket = await self._transport.open_datagrams(
             address, self._receive_datagram
         )
-        self._server = await websocket_server.serve(
-            self._serve,
-            address.host,
-            address.port,
-            max_size=MESSAGE_LIMIT_BYTES,
-            compression=None,
-            ping_interval=PING_INTERVAL_S,
+        self._server = await self._transport.open_requests(
+            address, self._answer
         )
 
     async def close(self) -> None:
         """Close everything."""
-        for link in self._links.values():
-            await link.close()
+        await self._transport.close()
         if self._server is not None:
-            self._server.close()
-            await self._server.wait_closed()
+            await self._server.close()
         if self._socket is not None:
             self._socket.close()
 
@@ -123,10 +68,10 @@
     async def request(
         self, vm_id: str, message: messages.Message
     ) -> messages.Message:
-        """Send a message over a websocket and return its answer.
+        """Send a message and return its answer.
 
         Raises ``PeerError``: ``SH403`` when the VM is unknown or does not
-        answer in ``REQUEST_TIMEOUT_S``.
+        answer.
         """
         member = self._context.members.get(vm_id)
         if member is None:
@@ -140,11 +85,7 @@
         data = messages.encode_message(message)
         self._context.counters[counters.Count.CONTROL_BYTES] += len(data)
         address = addresses.parse_address(peer_address)
-        link = self._links.setdefault(address, _Link(address))
-        try:
-            answer = await link.request(data)
-        except (OSError, TimeoutError, websockets.WebSocketException) as exc:
-            raise _fail(f'{peer_address}: {exc!r}') from exc
+        answer = await self._transport.request(address, data)
         return messages.decode_message(answer)
 
     def _receive_datagram(self, data: bytes) -> None:
@@ -155,20 +96,16 @@
             return
         self._receive(message)
 
-    async def _serve(
-        self, connection: websocket_server.ServerConnection
-    ) -> None:
-        """Answer one peer's messages, one after the other."""
-        async for data in connection:
-            try:
-                answer = await self._handle(messages.decode_message(data))
-            except errors.SavoryhavenError as exc:
-                logger.warning('closing a connection of a peer: {}', exc)
-                return
-            encoded = messages.encode_message(answer)
-            size = len(encoded)
-            self._context.counters[counters.Count.CONTROL_BYTES] += size
-            await connection.send(encoded)
+    async def _answer(self, data: bytes) -> bytes:
+        """Answer one message of a peer."""
+        try:
+            answer = await self._handle(messages.decode_message(data))
+        except errors.SavoryhavenError as exc:
+            logger.warning('a message of a peer is not answered: {}', exc)
+            raise
+        encoded = messages.encode_message(answer)
+        self._context.counters[counters.Count.CONTROL_BYTES] += len(encoded)
+        return encoded
 
 
 def _fail(message: str) -> errors.PeerError:
--- a/packages/savoryhaven/src/_savoryhaven/plugins.py
+++ b/packages/savoryhaven/src/_savoryhaven/plugins.py
@@ -35,8 +35,8 @@
 
     @hooks.hookimpl
     def savoryhaven_transport(self) -> hooks.Transport:
-        """Return UDP sockets."""
-        return transport.UdpTransport()
+        """Return UDP sockets and websockets."""
+        return transport.SocketTransport()
 
     @hooks.hookimpl
     def savoryhaven_clock(self) -> hooks.Clock:
--- a/packages/savoryhaven/src/_savoryhaven/router.py
+++ b/packages/savoryhaven/src/_savoryhaven/router.py
@@ -182,6 +182,9 @@
     def _decide(self, arrival: Arrival) -> None:
         context = self._context
         now = context.clock.read_monotonic()
+        if not context.serving:
+            self._hold(arrival, now)
+            return
         if context.standing.in_doubt(now):
             self._count(_Count.DROPPED_DOUBT)
             return
--- a/packages/savoryhaven/src/_savoryhaven/transport.py
+++ b/packages/savoryhaven/src/_savoryhaven/transport.py
@@ -1,4 +1,4 @@
-"""Datagrams over asyncio's UDP endpoints."""
+"""Datagrams over UDP sockets, requests over websockets."""
 
 import asyncio
 import socket
@@ -6,14 +6,18 @@
 
 from _savoryhaven import addresses
 from _savoryhaven import hooks
+from _savoryhaven import websocket
 
 # Room for bursts; the kernel may grant less.
 SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
 
 
 @typing.final
-class UdpTransport:
-    """Opens UDP sockets on the running event loop."""
+class SocketTransport:
+    """Opens sockets on the running event loop."""
+
+    def __init__(self) -> None:
+        self._links: dict[addresses.Address, websocket.Link] = {}
 
     async def open_datagrams(
         self,
@@ -32,6 +36,22 @@
         )
         return _UdpSocket(transport)
 
+    async def open_requests(
+        self, address: addresses.Address, handle: websocket.Handle
+    ) -> hooks.Listener:
+        """Bind an address for websockets; raises ``OSError``."""
+        return await websocket.WebsocketListener(handle).open(address)
+
+    async def request(self, address: addresses.Address, data: bytes) -> bytes:
+        """Send a request over the websocket to an address."""
+        link = self._links.setdefault(address, websocket.Link(address))
+        return await link.request(data)
+
+    async def close(self) -> None:
+        """Close the websockets that requests were sent over."""
+        for link in self._links.values():
+            link.close()
+
 
 @typing.final
 class _Receiver(asyncio.DatagramProtocol):
--- a/packages/savoryhaven/src/_savoryhaven/vm.py
+++ b/packages/savoryhaven/src/_savoryhaven/vm.py
@@ -4,6 +4,7 @@
 import typing
 
 from loguru import logger
+import pluggy
 
 from _savoryhaven import addresses
 from _savoryhaven import configuration
@@ -15,9 +16,7 @@
 from _savoryhaven import hooks
 from _savoryhaven import membership
 from _savoryhaven import messages
-from _savoryhaven import metrics
 from _savoryhaven import offers
-from _savoryhaven import operator_api
 from _savoryhaven import peers as peers_module
 from _savoryhaven import plugins
 from _savoryhaven import reports
@@ -40,9 +39,12 @@
 class Vm:
     """One entry VM. ``run`` returns after the planned stop."""
 
-    def __init__(self, settings: settings_module.Settings) -> None:
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        manager: pluggy.PluginManager,
+    ) -> None:
         self.settings: typing.Final = settings
-        manager = plugins.load_plugins(settings.plugins)
         hook = manager.hook
         self.context: typing.Final = context_module.build_context(
             settings,
@@ -65,7 +67,7 @@
         self._offers = offers.Offers(context, self._peers.send)
         self._router = router.Router(context, self)
         self._copier = copies.Copier(context, self._send_copies)
-        self._configuration = configuration.Configuration(
+        self.configuration: typing.Final = configuration.Configuration(
             context,
             client,
             self._peers.send,
@@ -73,17 +75,9 @@
             self._meet,
         )
         self._detector = detector.Detector(
-            context, self._peers.send, self._configuration.note_knowledge
+            context, self._peers.send, self.configuration.note_knowledge
         )
         self._collector = reports.Collector(context)
-        self._meter = metrics.Meter(context)
-        self._operator_api = operator_api.OperatorApi(
-            context,
-            self._configuration,
-            self._meter,
-            self.request_stop,
-            hook.savoryhaven_dump,
-        )
         context.members.listen(self._note_event)
 
     def _meet(self, peer_address: str) -> None:
@@ -100,13 +94,12 @@
         """
         try:
             await self._peers.open()
-            await self._operator_api.open()
             await self._join()
             self._data_socket = await self._transport.open_datagrams(
                 addresses.parse_address(self.settings.data_address),
                 self._router.receive_from_fabric,
             )
-            self._require_all()
+            self._begin()
             logger.info(
                 '{} serves generation {}',
                 self.context.vm_id,
@@ -116,6 +109,13 @@
         finally:
             await self._close()
 
+    def _begin(self) -> None:
+        """Decide about packets from now on."""
+        self.context.standing.restart(self.context.clock.read_monotonic())
+        self.context.serving = True
+        self._require_all()
+        self._router.release_held()
+
     async def _serve(self) -> None:
         async with asyncio.TaskGroup() as group:
             tasks = [group.create_task(work) for work in self._list_work()]
@@ -130,11 +130,11 @@
         return [
             self._detector.run_heartbeat(),
             self._detector.run_probes(),
-            self._configuration.run_watch(),
-            self._configuration.run_reads(),
-            self._configuration.run_list(),
-            self._configuration.run_slow_list(),
-            self._configuration.run_fetches(),
+            self.configuration.run_watch(),
+            self.configuration.run_reads(),
+            self.configuration.run_list(),
+            self.configuration.run_slow_list(),
+            self.configuration.run_fetches(),
             self._copier.run(),
             self._offers.run(),
             self._collector.run(),
@@ -146,10 +146,8 @@
     async def _close(self) -> None:
         if self._data_socket is not None:
             self._data_socket.close()
-        await self._operator_api.close()
         await self._peers.close()
         await self._client.close()
-        self._meter.close()
 
     async def _join(self) -> None:
         """Learn the members and the document before serving anything."""
@@ -173,9 +171,9 @@
     async def _join_through(self, seed: str) -> bool:
         try:
             update = await self._peers.request_at(
-                seed, self._configuration.make_join()
+                seed, self.configuration.make_join()
             )
-            self._configuration.take_update(update, seed)
+            self.configuration.take_update(update, seed)
         except errors.SavoryhavenError as exc:
             logger.debug('seed {} does not help: {}', seed, exc)
             return False
@@ -184,7 +182,7 @@
     async def _has_document(self) -> bool:
         """Return whether there is a document, asking the platform too."""
         try:
-            await self._configuration.read_now()
+            await self.configuration.read_now()
         except errors.PlatformError as exc:
             logger.debug('joining without the platform: {}', exc)
         return self.context.routing.tables is not None
@@ -214,10 +212,16 @@
                 await asyncio.sleep(self.settings.stop.linger_s)
         except TimeoutError:
             logger.error('SH405: the planned stop took too long; leaving now')
+        context.members.end(context.clock.read_monotonic())
+        self._tell_peers()
 
-    async def _hand_over_all(self) -> None:
+    def _tell_peers(self) -> None:
+        """Tell all peers at once how this VM is."""
         for member in self.context.members.list_peers():
             self._detector.send_probe(member.vm_id)
+
+    async def _hand_over_all(self) -> None:
+        self._tell_peers()
         receivers = self.context.members.list_eligible()
         await asyncio.gather(
             *(self._hand_over(member.vm_id) for member in receivers)
@@ -254,7 +258,7 @@
             case messages.Announcement(sender, knowledge):
                 now = self.context.clock.read_monotonic()
                 self.context.members.merge(sender, now)
-                self._configuration.note_knowledge(sender.vm_id, knowledge)
+                self.configuration.note_knowledge(sender.vm_id, knowledge)
             case _:
                 self._detector.receive(message)
 
@@ -266,7 +270,7 @@
                 if not message.members:
                     # One that is still joining can't own anything yet.
                     self.context.members.merge(sender, now)
-                return self._configuration.answer_fetch(message)
+                return self.configuration.answer_fetch(message)
             case messages.Claim(sender):
                 return await self._answer_claim(message, now)
             case messages.FlowCopies():
@@ -306,7 +310,7 @@
         for _ in range(SYNC_ROUNDS):
             if self.context.routing.generation >= generation:
                 return
-            await self._configuration.fetch_from(vm_id)
+            await self.configuration.fetch_from(vm_id)
 
     async def _send_copies(
         self, vm_id: str, message: messages.FlowCopies
