Ask every possible former owner before placing an unknown flow

Cause: a VM that became owner of a bucket asked one former owner, guessed from the table before. When members and table change together, the guess is wrong: under the old table the new member itself seemed to be the former owner, or the flow was on its way from the old owner to another VM at that moment. The flow was taken for new and opened elsewhere. A packet that two VMs with different views passed to and fro was dropped after 4 hops, about 2 ms.

Now all VMs that may have owned buckets of the service are asked, once per change; an owner also pushes flows that are another's by now; flows that were handed over a moment ago go along as second-hand records; packets wait between hops and while a home domain is only just unknown.

--- a/packages/savoryhaven/src/_savoryhaven/configuration.py
+++ b/packages/savoryhaven/src/_savoryhaven/configuration.py
@@ -204,14 +204,13 @@
                 if not first and previous and address not in known:
                     context.loads.note_usable(address, now)
             if previous is not None:
-                self._require_former_owners()
+                self._require_former_owners(name)
 
-    def _require_former_owners(self) -> None:
+    def _require_former_owners(self, service: str) -> None:
         """Expect flows of buckets that the new table moved here."""
         context = self._context
-        for member in context.members.list_eligible():
-            if member.vm_id != context.vm_id:
-                context.inheritance.require(member.vm_id)
+        for member in context.members.list_peers():
+            context.inheritance.require(member.vm_id, service)
 
     async def _read_list(self) -> None:
         interval_s = self._context.settings.platform.list_interval_s
--- a/packages/savoryhaven/src/_savoryhaven/copies.py
+++ b/packages/savoryhaven/src/_savoryhaven/copies.py
@@ -25,6 +25,8 @@
 # Copies expire at their holder like flows, so they are sent again in time.
 REFRESH_S = 150.0
 BATCH_RECORDS = 1_000
+# A handed over flow is kept for so long, in case the handover got lost.
+HANDED_OVER_LINGER_S = 30.0
 # Rough size of a copied flow on the wire, for the budget.
 RECORD_BYTES = 40
 SCAN_FLOWS = 2_000
@@ -45,6 +47,21 @@
     keys: list[bytes] = attrs.field(factory=list)
 
 
+@attrs.define
+class _Parcel:
+    """What is collected for one handover."""
+
+    receiver: str
+    records: list[messages.FlowRecord] = attrs.field(factory=list)
+    second_hand: list[messages.FlowRecord] = attrs.field(factory=list)
+    groups: dict[float, _Group] = attrs.field(factory=dict)
+
+    def add_derived(self, key: bytes, idle_timeout_s: float) -> None:
+        """Add a flow that stands where the table puts it."""
+        group = self.groups.setdefault(idle_timeout_s, _Group(idle_timeout_s))
+        group.keys.append(key)
+
+
 class Copier:
     """Sends and takes copies for one VM."""
 
@@ -55,6 +72,7 @@
         self._scanned_for: tuple[placement.View, int] | None = None
         self._scanned_at = 0.0
         self._crashed: dict[str, float] = {}
+        self._foreign: set[str] = set()
         self._waiting: dict[str, list[messages.FlowRecord]] = {}
         self._budget_bytes = 0.0
         self._budget_at = 0.0
@@ -75,6 +93,7 @@
         due = now - self._scanned_at > REFRESH_S
         if state != self._scanned_for or due:
             await self._scan_all()
+            await self._push_foreign()
             self._scanned_for = state
             self._scanned_at = now
             self._synced_view = state[0]
@@ -97,9 +116,15 @@
         context = self._context
         flow = context.flows.get(service, key)
         table = context.routing.tables.by_name.get(service)
-        if flow is None or table is None or flow.copied_from:
+        if flow is None or table is None:
+            return
+        if flow.copied_from and not self._is_orphan(flow):
             return
         flow.bucket = table.find_bucket(key)
+        found = context.owners.find(table, flow.bucket)
+        if found.owner not in (None, context.vm_id):
+            self._foreign.add(found.owner)
+            return
         derived = table.derive_target(
             flow.bucket, context.routing.view.leaving
         )
@@ -107,6 +132,24 @@
         if flow.pinned:
             context.pins_due.append((service, key))
 
+    def _is_orphan(self, flow: flows.Flow) -> bool:
+        """Return whether the owner that sent a copy is gone."""
+        member = self._context.members.get(flow.copied_from)
+        return member is None or not member.eligible
+
+    async def _push_foreign(self) -> None:
+        """Hand over flows whose buckets are another VM's by now.
+
+        Their new owners ask for them too, but only for what they need.
+        """
+        for vm_id in sorted(self._foreign):
+            handover = await self.build_handover(vm_id)
+            try:
+                await self._send(vm_id, handover)
+            except errors.PeerError as exc:
+                logger.debug('{} takes no handover: {}', vm_id, exc)
+        self._foreign.clear()
+
     def _list_successors(self) -> list[str]:
         """Return VMs that may succeed this one: the others of its domain."""
         members = self._context.members
@@ -125,14 +168,13 @@
         for service, key in due:
             flow = context.flows.get(service, key)
             table = context.routing.tables.by_name.get(service)
-            if flow is None or table is None:
+            if table is None:
                 continue
-            found = context.owners.find(table, flow.bucket)
+            found = context.owners.find(table, table.find_bucket(key))
             if found.owner != context.vm_id or found.successor is None:
                 continue
-            record = messages.FlowRecord(
-                service, key, str(flow.target.address)
-            )
+            address = str(flow.target.address) if flow else ''
+            record = messages.FlowRecord(service, key, address)
             self._waiting.setdefault(found.successor, []).append(record)
 
     async def _send_waiting(self, now: float) -> None:
@@ -178,19 +220,25 @@
         self._context.counters[_Count.COPIES_SENT] += len(batch)
         return True
 
-    async def build_handover(self, receiver: str) -> messages.FlowCopies:
+    async def build_handover(
+        self,
+        receiver: str,
+        services: typing.Collection[str] = (),
+        *,
+        farewell: bool = False,
+    ) -> messages.FlowCopies:
         """Return all that a VM has to know of the buckets it owns now.
 
-        The flows it contains are no longer ours afterwards.
+        Of some services, or of all if none is named. The flows it contains
+        are kept for a while as copies, in case the answer is lost.
         """
         context = self._context
-        records: list[messages.FlowRecord] = []
-        groups: dict[float, _Group] = {}
-        for service in context.flows.list_services():
+        parcel = _Parcel(receiver)
+        for service in services or context.flows.list_services():
             keys = context.flows.list_keys(service)
             for start in range(0, len(keys), SCAN_FLOWS):
                 for key in keys[start : start + SCAN_FLOWS]:
-                    self._move_flow(service, key, receiver, records, groups)
+                    self._move_flow(service, key, parcel)
                 await asyncio.sleep(0)
         view = context.routing.view
         return messages.FlowCopies(
@@ -198,46 +246,54 @@
             view.generation,
             tuple(sorted(view.leaving)),
             True,
-            tuple(records),
+            tuple(parcel.records),
             tuple(self._list_tombstones(receiver)),
-            tuple(self._list_filters(receiver, groups, view)),
+            tuple(self._list_filters(parcel, view)),
+            farewell,
+            tuple(parcel.second_hand),
         )
 
-    def _move_flow(
-        self,
-        service: str,
-        key: bytes,
-        receiver: str,
-        records: list[messages.FlowRecord],
-        groups: dict[float, _Group],
-    ) -> None:
+    def _move_flow(self, service: str, key: bytes, parcel: _Parcel) -> None:
         context = self._context
         table = context.routing.tables.by_name.get(service)
         flow = context.flows.get(service, key)
         if table is None or flow is None:
             return
         bucket = table.find_bucket(key)
-        if context.owners.find(table, bucket).owner != receiver:
-            return
-        if flow.copied_from and not self._may_hand_on(flow, receiver):
+        if context.owners.find(table, bucket).owner != parcel.receiver:
             return
         derived = table.derive_target(bucket, context.routing.view.leaving)
         if derived is not None and derived.address == flow.target.address:
-            timeout_s = context.get_idle_timeout(service, False)
-            group = groups.setdefault(timeout_s, _Group(timeout_s))
-            group.keys.append(key)
+            parcel.add_derived(key, context.get_idle_timeout(service, False))
         else:
             address = str(flow.target.address)
-            records.append(messages.FlowRecord(service, key, address))
-        context.flows.remove(service, key)
+            record = messages.FlowRecord(service, key, address)
+            if self._is_first_hand(flow, parcel.receiver):
+                parcel.records.append(record)
+            else:
+                parcel.second_hand.append(record)
+        if self._is_first_hand(flow, parcel.receiver):
+            self._keep_as_copy(service, flow, parcel.receiver)
+
+    def _keep_as_copy(
+        self, service: str, flow: flows.Flow, receiver: str
+    ) -> None:
+        """Keep a flow that was handed over, but not for long."""
+        context = self._context
+        if flow.copied_from == receiver:
+            return
         if not flow.copied_from:
             context.loads.own[str(flow.target.address)] -= 1
+        flow.copied_from = receiver
+        now = context.clock.read_monotonic()
+        timeout_s = context.get_idle_timeout(service, False)
+        flow.seen_at = now - timeout_s + HANDED_OVER_LINGER_S
 
-    def _may_hand_on(self, flow: flows.Flow, receiver: str) -> bool:
-        """Return whether a copy's owner can't tell the receiver itself."""
-        member = self._context.members.get(flow.copied_from)
-        gone = member is None or not member.eligible
-        return gone or flow.copied_from == receiver
+    def _is_first_hand(self, flow: flows.Flow, receiver: str) -> bool:
+        """Return whether no other VM knows better where a flow stands."""
+        if flow.copied_from in ('', receiver):
+            return True
+        return self._is_orphan(flow)
 
     def _list_tombstones(
         self, receiver: str
@@ -256,12 +312,12 @@
 
     def _list_filters(
         self,
-        receiver: str,
-        groups: dict[float, _Group],
+        parcel: _Parcel,
         view: placement.View,
     ) -> typing.Iterator[messages.FilterRecord]:
         now = self._context.clock.read_monotonic()
-        for group in groups.values():
+        receiver = parcel.receiver
+        for group in parcel.groups.values():
             yield _make_filter_record(
                 inheritance.build_filter(group.keys),
                 view,
@@ -294,7 +350,10 @@
                 )
             )
         for record in copies.flows:
-            self._take_flow(record, copies, now)
+            source = '' if copies.handover else copies.vm_id
+            self._take_flow(record, source, now)
+        for record in copies.second_hand:
+            self._take_flow(record, copies.vm_id, now)
         for record in copies.tombstones:
             until = now + record.remaining_s
             context.tombstones.add(record.key, until, now)
@@ -326,36 +385,33 @@
     def take_offer(self, offer: messages.CopyOffer) -> messages.CopyAck:
         """Take urgent copies in."""
         now = self._context.clock.read_monotonic()
-        copies = messages.FlowCopies(
-            offer.vm_id, 0, (), False, offer.flows, offer.tombstones
-        )
         for record in offer.flows:
-            self._take_flow(record, copies, now)
+            self._take_flow(record, offer.vm_id, now)
         for record in offer.tombstones:
             until = now + record.remaining_s
             self._context.tombstones.add(record.key, until, now)
         return messages.CopyAck(offer.sequence)
 
     def _take_flow(
-        self,
-        record: messages.FlowRecord,
-        copies: messages.FlowCopies,
-        now: float,
+        self, record: messages.FlowRecord, source: str, now: float
     ) -> None:
+        """Take a flow over, or as a copy if it names its source."""
         context = self._context
         table = context.routing.tables.by_name.get(record.service)
-        target = context.routing.find_target(record.service, record.upstream)
-        if table is None or target is None:
-            return
         held = context.flows.get(record.service, record.key)
         if held is not None and not held.copied_from:
             return
-        source = '' if copies.handover else copies.vm_id
+        if not record.upstream:
+            context.flows.remove(record.service, record.key)
+            return
+        target = context.routing.find_target(record.service, record.upstream)
+        if table is None or target is None:
+            return
         bucket = table.find_bucket(record.key)
         flow = flows.Flow(target, bucket, now, source, pinned=True)
         if not context.flows.add(record.service, record.key, flow):
             return
-        if copies.handover:
+        if not source:
             context.loads.own[str(target.address)] += 1
             context.pins_due.append((record.service, record.key))
 
--- a/packages/savoryhaven/src/_savoryhaven/inheritance.py
+++ b/packages/savoryhaven/src/_savoryhaven/inheritance.py
@@ -54,12 +54,22 @@
         return self.bloom is None or key in self.bloom
 
 
+@attrs.frozen
+class Ticket:
+    """One claim: its number, and the services, none standing for all."""
+
+    number: int
+    services: tuple[str, ...]
+
+
 @attrs.define
 class _Peer:
     """What a peer told, and what is asked of it."""
 
     confirmed: int = 0
     required: int = 0
+    # The services that have to be asked for; None stands for all.
+    services: set[str] | None = attrs.field(factory=set)
     asked_at: float | None = None
     copies_view: placement.View | None = None
     handed_over: bool = False
@@ -72,41 +82,53 @@
         self._peers: dict[str, _Peer] = {}
         self._filters: list[InheritedFilter] = []
 
-    def require(self, vm_id: str) -> None:
-        """Note that a peer may have owned buckets that are ours now."""
+    def require(self, vm_id: str, service: str | None = None) -> None:
+        """Note that a peer may have owned buckets that are ours now.
+
+        Those of one service, or of all if none is named.
+        """
         peer = self._get(vm_id)
         peer.required += 1
         peer.asked_at = None
+        if service is None:
+            peer.services = None
+        elif peer.services is not None:
+            peer.services.add(service)
 
     def has_unsettled(self) -> bool:
         """Return whether any peer still owes a handover."""
         return any(p.confirmed < p.required for p in self._peers.values())
 
-    def is_settled(self, vm_id: str) -> bool:
-        """Return whether a peer has told everything that we need."""
+    def is_settled(self, vm_id: str, service: str) -> bool:
+        """Return whether a peer has told us all about a service."""
         peer = self._peers.get(vm_id)
-        return peer is None or peer.confirmed >= peer.required
+        if peer is None or peer.confirmed >= peer.required:
+            return True
+        return peer.services is not None and service not in peer.services
 
-    def start_claim(self, vm_id: str, now: float) -> int | None:
-        """Return the ticket of a claim to send, None if one is under way."""
+    def start_claim(self, vm_id: str, now: float) -> Ticket | None:
+        """Return what to claim, None if a claim is under way."""
         peer = self._get(vm_id)
         if peer.asked_at is not None:
             return None
         peer.asked_at = now
-        return peer.required
+        services = () if peer.services is None else sorted(peer.services)
+        return Ticket(peer.required, tuple(services))
 
-    def settle(self, vm_id: str, ticket: int) -> None:
+    def settle(self, vm_id: str, ticket: Ticket) -> None:
         """Note that the answer to a claim was taken in."""
         peer = self._get(vm_id)
-        peer.confirmed = max(peer.confirmed, ticket)
-        if peer.confirmed < peer.required:
-            peer.asked_at = None
+        peer.confirmed = max(peer.confirmed, ticket.number)
+        peer.asked_at = None
+        if peer.confirmed >= peer.required:
+            peer.services = set()
 
     def give_up(self, vm_id: str) -> None:
         """Go on without a peer that does not answer."""
         peer = self._get(vm_id)
         peer.confirmed = peer.required
         peer.asked_at = None
+        peer.services = set()
 
     def note_departure(self, vm_id: str) -> None:
         """Note that a leaving peer has told everything before it went."""
--- a/packages/savoryhaven/src/_savoryhaven/messages.py
+++ b/packages/savoryhaven/src/_savoryhaven/messages.py
@@ -188,6 +188,10 @@
     ``generation`` and ``leaving`` are the view that the sender derives
     placements from. ``handover`` says that the receiver now decides about
     these flows; otherwise they are copies in case the sender dies.
+    ``farewell`` says that the sender is leaving and has told everything.
+    A flow without an upstream has ended. ``second_hand`` are flows that the
+    sender had from, or gave to, another VM that is still there: the word of
+    that VM counts more.
     """
 
     vm_id: str
@@ -197,14 +201,20 @@
     flows: tuple[FlowRecord, ...]
     tombstones: tuple[TombstoneRecord, ...]
     filters: tuple[FilterRecord, ...] = ()
+    farewell: bool = False
+    second_hand: tuple[FlowRecord, ...] = ()
 
 
 @attrs.frozen
 class Claim:
-    """A VM that owns buckets now asks a former owner for their flows."""
+    """A VM that owns buckets now asks a former owner for their flows.
+
+    ``services`` names the services that are meant; none stands for all.
+    """
 
     sender: MemberRecord
     generation: int
+    services: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/packages/savoryhaven/src/_savoryhaven/ownership.py
+++ b/packages/savoryhaven/src/_savoryhaven/ownership.py
@@ -13,6 +13,8 @@
 from _savoryhaven import placement
 
 OWNERS_PER_DOMAIN = 8
+# A VM that joined may have pushed another one off the list of candidates.
+FORMER_MARGIN = 2
 CACHE_LIMIT = 200_000
 
 
@@ -65,18 +67,16 @@
             self._cache[key] = found
         return found
 
-    def find_stand_in(
-        self, table: placement.ServiceTable, bucket: int
-    ) -> str | None:
-        """Return who owns a bucket for those that can't reach its home."""
-        if not table.service.idempotent:
-            return None
-        bucket_hash = table.hash_bucket(bucket)
-        for domain in table.list_domains(bucket)[1:]:
-            found = self._find_in_domain(table, domain, bucket_hash)
-            if found.owner is not None:
-                return found.owner
-        return None
+    def list_candidates(self, table: placement.ServiceTable) -> set[str]:
+        """Return the VMs that own buckets of a service, or did lately."""
+        found: set[str] = set()
+        for domain in {t.failure_domain for t in table.targets}:
+            found.update(
+                self._build_candidates(
+                    table, domain, OWNERS_PER_DOMAIN + FORMER_MARGIN
+                )
+            )
+        return found
 
     def forget_tables(self) -> None:
         """Drop what was cached for tables that are no longer in force."""
@@ -135,12 +135,12 @@
         key = (table.name, domain)
         found = self._ranked.get(key)
         if found is None:
-            found = self._build_candidates(table, domain)
+            found = self._build_candidates(table, domain, OWNERS_PER_DOMAIN)
             self._ranked[key] = found
         return found
 
     def _build_candidates(
-        self, table: placement.ServiceTable, domain: str
+        self, table: placement.ServiceTable, domain: str, wanted: int
     ) -> tuple[str, ...]:
         members = {m.vm_id: m for m in self._members.list_domain(domain)}
         service_hash = table.hash_bucket(table.service.buckets)
@@ -149,7 +149,7 @@
         for vm_id in placement.rank_vms(members, service_hash):
             chosen.append(vm_id)
             eligible += members[vm_id].eligible
-            if eligible == OWNERS_PER_DOMAIN:
+            if eligible == wanted:
                 break
         return tuple(chosen)
 
--- a/packages/savoryhaven/src/_savoryhaven/router.py
+++ b/packages/savoryhaven/src/_savoryhaven/router.py
@@ -20,7 +20,10 @@
 from _savoryhaven import packets
 from _savoryhaven import placement
 
-HOPS_MAX = 4
+# VMs whose views differ for a moment pass a packet to and fro. After a few
+# hops it waits before each further one, and after many it is dropped.
+HOPS_AT_ONCE = 3
+HOPS_MAX = 8
 # How long a packet waits for a handover or an acknowledged copy.
 HOLD_S = 1.5
 # A home domain may be silent for so long before callers of its
@@ -90,6 +93,7 @@
         self._context: typing.Final = context
         self._outlet: typing.Final = outlet
         self._held: collections.deque[_Held] = collections.deque()
+        self._releasing = False
         # Openings whose copy is on its way, and where they are to go.
         self._offered: dict[bytes, placement.Target] = {}
 
@@ -106,11 +110,13 @@
         waiting = list(self._held)
         self._held.clear()
         now = self._context.clock.read_monotonic()
+        self._releasing = True
         for held in waiting:
             if held.until < now:
                 self._count(_Count.DROPPED_HELD)
             else:
                 self._receive(held.packet, hops=held.hops)
+        self._releasing = False
 
     def reset(self) -> None:
         """Forget what waits, as this VM was taken for dead."""
@@ -175,6 +181,10 @@
         if arrival.hops >= HOPS_MAX:
             self._count(_Count.DROPPED_HOPS)
             return
+        if arrival.hops >= HOPS_AT_ONCE and not self._releasing:
+            now = self._context.clock.read_monotonic()
+            self._hold(arrival, now)
+            return
         relay = messages.Relay(arrival.hops + 1, arrival.packet.raw)
         self._outlet.send_relay(owner, relay)
         self._count(_Count.RELAYED)
@@ -279,12 +289,17 @@
         inheritance = self._context.inheritance
         if not inheritance.has_unsettled():
             return False
-        for vm_id in self._list_former_owners(arrival):
-            if not inheritance.is_settled(vm_id):
-                self._hold(arrival, now)
-                self._outlet.request_claim(vm_id)
-                return True
-        return False
+        name = arrival.table.name
+        unsettled = [
+            vm_id
+            for vm_id in self._list_former_owners(arrival.table)
+            if not inheritance.is_settled(vm_id, name)
+        ]
+        for vm_id in unsettled:
+            self._outlet.request_claim(vm_id)
+        if unsettled:
+            self._hold(arrival, now)
+        return bool(unsettled)
 
     def _hold(self, arrival: Arrival, now: float) -> None:
         limit = self._context.settings.limits.held_packets
@@ -295,23 +310,15 @@
         self._held.append(_Held(raw, arrival.hops, now + HOLD_S))
         self._count(_Count.HELD)
 
-    def _list_former_owners(self, arrival: Arrival) -> list[str]:
-        """Return live VMs that may have owned the bucket before this one."""
-        context = self._context
-        table, bucket = arrival.table, arrival.bucket
-        former = [arrival.ownership.successor]
-        former.extend(arrival.ownership.departed)
-        previous = context.routing.find_previous(table)
+    def _list_former_owners(self, table: placement.ServiceTable) -> set[str]:
+        """Return other VMs that may have owned buckets of a service."""
+        owners = self._context.owners
+        former = owners.list_candidates(table)
+        previous = self._context.routing.find_previous(table)
         if previous is not None:
-            former_bucket = previous.find_bucket(arrival.key)
-            found = context.owners.find(previous, former_bucket)
-            former.append(found.owner)
-        former.append(context.owners.find_stand_in(table, bucket))
-        return [
-            vm_id
-            for vm_id in former
-            if vm_id is not None and vm_id != context.vm_id
-        ]
+            former |= owners.list_candidates(previous)
+        former.discard(self._context.vm_id)
+        return former
 
     def _find_former_view(
         self, arrival: Arrival, window_s: float, now: float
@@ -482,6 +489,10 @@
         since = self._context.members.get_silence_start(
             arrival.ownership.domain
         )
+        if now - since < HOLD_S:
+            # Perhaps this VM has only just joined.
+            self._hold(arrival, now)
+            return
         role = arrival.protocol.classify(arrival.packet)
         raw = None
         if now - since >= SILENT_HOME_S and role is flows.Role.OPENING:
--- a/packages/savoryhaven/src/_savoryhaven/vm.py
+++ b/packages/savoryhaven/src/_savoryhaven/vm.py
@@ -14,6 +14,7 @@
 from _savoryhaven import detector
 from _savoryhaven import errors
 from _savoryhaven import hooks
+from _savoryhaven import inheritance as inheritance_module
 from _savoryhaven import membership
 from _savoryhaven import messages
 from _savoryhaven import offers
@@ -189,16 +190,12 @@
 
     def _require_all(self) -> None:
         """Expect the flows of buckets that are this VM's from now on."""
-        members = self.context.members
         domain = self.settings.failure_domain
-        former = [
-            member
-            for member in members.list_eligible(domain)
-            if member.vm_id != self.context.vm_id
-        ]
-        for member in former or members.list_peers():
+        for member in self.context.members.list_peers():
             self.context.inheritance.require(member.vm_id)
-            self.request_claim(member.vm_id)
+            # Others are asked once a packet makes it necessary.
+            if member.record.failure_domain == domain:
+                self.request_claim(member.vm_id)
 
     async def _stop(self) -> None:
         """Hand everything over, pass late packets on, and go."""
@@ -228,7 +225,7 @@
         )
 
     async def _hand_over(self, vm_id: str) -> None:
-        handover = await self._copier.build_handover(vm_id)
+        handover = await self._copier.build_handover(vm_id, farewell=True)
         while True:
             try:
                 await self._peers.request(vm_id, handover)
@@ -286,7 +283,9 @@
     ) -> messages.FlowCopies:
         self.context.members.merge(claim.sender, now)
         await self._catch_up(claim.sender.vm_id, claim.generation)
-        handover = await self._copier.build_handover(claim.sender.vm_id)
+        handover = await self._copier.build_handover(
+            claim.sender.vm_id, claim.services
+        )
         self.context.counters[_Count.HANDOVERS_SENT] += 1
         copies.log_handover(claim.sender.vm_id, handover)
         return handover
@@ -296,14 +295,10 @@
     ) -> messages.Received:
         await self._catch_up(message.vm_id, message.generation)
         received = self._copier.take(message)
-        if message.handover:
-            self._note_departure(message.vm_id)
-        return received
-
-    def _note_departure(self, vm_id: str) -> None:
-        """A handover that nobody asked for: its sender is leaving."""
-        self.context.inheritance.note_departure(vm_id)
+        if message.farewell:
+            self.context.inheritance.note_departure(message.vm_id)
         self._router.release_held()
+        return received
 
     async def _catch_up(self, vm_id: str, generation: int) -> None:
         """Fetch the document that a peer's message builds on."""
@@ -344,9 +339,13 @@
         self._claims.add(task)
         task.add_done_callback(self._claims.discard)
 
-    async def _claim(self, vm_id: str, ticket: int) -> None:
+    async def _claim(
+        self, vm_id: str, ticket: inheritance_module.Ticket
+    ) -> None:
         context = self.context
-        claim = messages.Claim(context.members.me, context.routing.generation)
+        claim = messages.Claim(
+            context.members.me, context.routing.generation, ticket.services
+        )
         try:
             answer = await self._peers.request(vm_id, claim)
             if isinstance(answer, messages.FlowCopies):
@@ -408,14 +407,20 @@
             idle = context.flows.take_idle(
                 now, context.get_idle_timeout, SWEEP_FLOWS
             )
-            for _, _, flow in idle:
+            for service, key, flow in idle:
+                context.counters[_Count.EXPIRED] += 1
                 if not flow.copied_from:
                     context.loads.own[str(flow.target.address)] -= 1
-                context.counters[_Count.EXPIRED] += 1
+                    if flow.pinned:
+                        # Its copies have to end as well.
+                        context.pins_due.append((service, key))
             context.tombstones.expire(now)
 
     async def _run_overdue(self) -> None:
-        """Go on without peers that owe a handover for too long."""
+        """Go on without peers that owe a handover for too long.
+
+        Looks again at all packets that wait, whatever they wait for.
+        """
         context = self.context
         while True:
             await asyncio.sleep(OVERDUE_INTERVAL_S)
@@ -423,8 +428,7 @@
             overdue = context.inheritance.list_overdue(now)
             for vm_id in overdue:
                 context.inheritance.give_up(vm_id)
-            if overdue:
-                self._router.release_held()
+            self._router.release_held()
 
     async def _run_loads(self) -> None:
         """Tell the other owners how many flows this VM holds where."""
