--- /dev/null
+++ b/packages/savoryhaven/tests/test_placement.py
@@ -0,0 +1,94 @@
+"""Tables are pure functions: alike everywhere, fair, and little disrupted."""
+
+import collections
+
+import hypothesis
+from hypothesis import strategies
+
+from _savoryhaven import document
+from _savoryhaven import placement
+import fakes
+
+SETTINGS = hypothesis.settings(
+    max_examples=30, derandomize=True, database=None, deadline=None
+)
+
+
+def make_table(slots: list[int]) -> placement.ServiceTable:
+    service = document.Service(
+        address=fakes.ONE,
+        protocol='coap',
+        idempotent=True,
+        upstreams={
+            f'u{at}': document.Upstream(
+                failure_domain='a', address=f'10.9.1.{at + 1}:1', slots=weight
+            )
+            for at, weight in enumerate(slots)
+        },
+    )
+    return placement.ServiceTable('team/one', service, 7)
+
+
+@SETTINGS
+@hypothesis.given(strategies.lists(strategies.integers(1, 8), min_size=2,
+                                   max_size=8))  # fmt: skip
+def test_shares_follow_the_slots(slots: list[int]) -> None:
+    table = make_table(slots)
+    buckets = table.service.buckets
+    counts = collections.Counter(
+        table.rank_targets(bucket)[0].name for bucket in range(buckets)
+    )
+    for at, weight in enumerate(slots):
+        share = counts[f'u{at}'] / buckets
+        fair = weight / sum(slots)
+        # Four standard deviations of a fair draw.
+        slack = 4 * (fair * (1 - fair) / buckets) ** 0.5
+        assert abs(share - fair) <= slack, (share, fair)
+
+
+@SETTINGS
+@hypothesis.given(strategies.lists(strategies.integers(1, 8), min_size=2,
+                                   max_size=6))  # fmt: skip
+def test_adding_an_upstream_moves_buckets_only_to_it(
+    slots: list[int],
+) -> None:
+    before = make_table(slots)
+    after = make_table([*slots, 3])
+    for bucket in range(0, before.service.buckets, 7):
+        old = before.rank_targets(bucket)[0].name
+        new = after.rank_targets(bucket)[0].name
+        assert new in (old, f'u{len(slots)}')
+
+
+@SETTINGS
+@hypothesis.given(
+    strategies.sets(strategies.integers(0, 30), min_size=1, max_size=12),
+    strategies.integers(0, 2**32),
+)
+def test_a_vm_that_goes_moves_only_its_own_buckets(
+    numbers: set[int], bucket_hash: int
+) -> None:
+    vm_ids = [f'vm{number}' for number in sorted(numbers)]
+    ranked = placement.rank_vms(vm_ids, bucket_hash)
+    assert sorted(ranked) == sorted(vm_ids)
+    for gone in vm_ids:
+        rest = [vm_id for vm_id in vm_ids if vm_id != gone]
+        expected = tuple(v for v in ranked if v != gone)
+        assert placement.rank_vms(rest, bucket_hash) == expected
+
+
+def test_unchanged_services_keep_their_tables() -> None:
+    first = placement.Tables(fakes.make_document(generation=1))
+    second = placement.Tables(
+        fakes.make_document(generation=2, upstreams=('a',)), first
+    )
+    assert second.by_name['other/two'] is first.by_name['other/two']
+    assert second.by_name['team/one'] is not first.by_name['team/one']
+
+
+def test_a_new_hash_seed_makes_new_tables() -> None:
+    first = placement.Tables(fakes.make_document(generation=1))
+    whole = fakes.make_document(generation=2)
+    reseeded = document.attrs.evolve(whole, hash_seed=8)
+    second = placement.Tables(reseeded, first)
+    assert second.by_name['other/two'] is not first.by_name['other/two']
