Name the known teams when a section is of another one

Found by hand: applying a section of an unknown team reported a conflict with an absent section. Syntax errors of settings now name the line in words.

--- a/packages/savoryhaven-ctl/src/_savoryhaven_ctl/editing.py
+++ b/packages/savoryhaven-ctl/src/_savoryhaven_ctl/editing.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import json
 import typing
 import uuid
 
@@ -71,6 +72,12 @@
             nonlocal base
             if stored is None:
                 raise _fail('SH501', 'there is no document yet; apply one')
+            if team not in stored.document.teams:
+                raise _fail(
+                    'SH509',
+                    f'{team!r} is not a team of the document; teams are '
+                    f'{", ".join(stored.document.teams)}',
+                )
             held = stored.document.sections.get(team)
             held_in = held.changed_in if held else 0
             if held is not None and _equals(held, section):
@@ -253,14 +260,14 @@
     held: document.Section | None,
     wanted: document.Section,
 ) -> errors.ConflictError:
-    stored = schema.dump(held) if held else None
+    stored = json.dumps(schema.dump(held)) if held else 'nothing'
     return errors.ConflictError(
         errors.Problem(
             code='SH502',
             message=(
                 f'the section {team} was changed since generation {base}\n'
                 f'stored: {stored}\n'
-                f'yours: {schema.dump(wanted)}'
+                f'yours: {json.dumps(schema.dump(wanted))}'
             ),
             hint='get the section again and edit that',
         )
--- a/packages/savoryhaven-ctl/tests/test_editing.py
+++ b/packages/savoryhaven-ctl/tests/test_editing.py
@@ -119,3 +119,17 @@
     stored = await editor.read()
     upstreams = stored.document.sections['team'].services['one'].upstreams
     assert [u.draining for u in upstreams.values()] == [True] + [False] * 3
+
+
+@fakes.run_virtually
+async def test_a_section_of_an_unknown_team_is_refused_by_name() -> None:
+    shared = make_platform()
+    try:
+        await make_editor(shared).apply_section(
+            'nobody', document.Section(changed_in=1, services={})
+        )
+    except errors.OperatorError as exc:
+        assert exc.code == 'SH509'
+        assert 'team, other' in str(exc)
+    else:
+        raise AssertionError('the section was accepted')
--- a/packages/savoryhaven/src/_savoryhaven/settings.py
+++ b/packages/savoryhaven/src/_savoryhaven/settings.py
@@ -200,7 +200,8 @@
     try:
         value = json5.loads(source, allow_duplicate_keys=False)
     except ValueError as exc:
-        raise _fail('SH101', str(exc), hint='mend the syntax') from exc
+        message = str(exc).replace('<string>:', 'line ')
+        raise _fail('SH101', message, hint='mend the syntax') from exc
     loaded = schema.load(
         value, Settings, code='SH102', error=errors.SettingsError
     )
