Let an address rest before another service gets it

Cause: an upstream address that moved from one service to another got the first one's packets from every VM that had not adopted the change yet, up to an hour where regions are apart. A packet meant for one service would reach another.

savoryhavenctl now notes in the document which addresses were given up, and refuses them to other services for 2 h (SH210). VMs go on dropping flows whose address is another service's.

Ruled out: letting VMs delay the change; they can't know who is behind.

The tests failed first: the address was given away at once.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -153,7 +153,7 @@
     document.check_document(loaded)
     team = loaded.teams[0]
     changed = document.replace_section(
-        loaded, team, loaded.sections[team], write_id='x'
+        loaded, team, loaded.sections[team], write_id='x', now_s=1
     )
     placement.Tables(changed, tables)
     change_s = time.process_time() - started_at
--- a/packages/savoryhaven-ctl/src/_savoryhaven_ctl/commands.py
+++ b/packages/savoryhaven-ctl/src/_savoryhaven_ctl/commands.py
@@ -15,6 +15,7 @@
 from rich import console as rich_console
 from rich import table as rich_table
 
+from _savoryhaven import clock
 from _savoryhaven import document
 from _savoryhaven import errors
 from _savoryhaven import platform
@@ -82,7 +83,9 @@
         return platform.HttpPlatform(settings.PlatformSettings(url=url))
 
     def _make_editor(self) -> editing.Editor:
-        return editing.Editor(self._client, timeout_s=self._get_timeout())
+        return editing.Editor(
+            self._client, clock.SystemClock(), timeout_s=self._get_timeout()
+        )
 
     def _get_timeout(self) -> float:
         try:
@@ -148,7 +151,11 @@
             stored = await self._make_editor().read()
             if stored is not None:
                 document.replace_section(
-                    stored.document, team, section, write_id=''
+                    stored.document,
+                    team,
+                    section,
+                    write_id='',
+                    now_s=clock.SystemClock().read_epoch_ms() // 1_000,
                 )
         self._show('good', {'valid': True})
         return 0
--- a/packages/savoryhaven-ctl/src/_savoryhaven_ctl/editing.py
+++ b/packages/savoryhaven-ctl/src/_savoryhaven_ctl/editing.py
@@ -18,6 +18,7 @@
 from _savoryhaven import schema
 
 RETRY_INTERVAL_S = 0.2
+MS_PER_S = 1_000
 
 
 @attrs.frozen
@@ -39,8 +40,11 @@
 class Editor:
     """Reads and changes the document through one platform client."""
 
-    def __init__(self, client: hooks.Platform, *, timeout_s: float) -> None:
+    def __init__(
+        self, client: hooks.Platform, clock: hooks.Clock, *, timeout_s: float
+    ) -> None:
         self._client: typing.Final = client
+        self._clock: typing.Final = clock
         self._timeout_s: typing.Final = timeout_s
 
     async def read(self) -> Stored | None:
@@ -86,12 +90,24 @@
                 base = held_in
             if held_in != base:
                 raise _conflict(team, base, held, section)
-            return document.replace_section(
-                stored.document, team, section, write_id=_make_write_id()
-            )
+            return self._replace_section(stored.document, team, section)
 
         return await self._write(build)
 
+    def _replace_section(
+        self, stored: document.Document, team: str, section: document.Section
+    ) -> document.Document:
+        return document.replace_section(
+            stored,
+            team,
+            section,
+            write_id=_make_write_id(),
+            now_s=self._read_time_s(),
+        )
+
+    def _read_time_s(self) -> int:
+        return self._clock.read_epoch_ms() // MS_PER_S
+
     async def apply_document(self, wanted: document.Document) -> Applied:
         """Replace the whole document, all sections included.
 
@@ -112,7 +128,7 @@
                         hint='get the document again and edit that',
                     )
                 )
-            return _advance_document(wanted, stored)
+            return _advance_document(wanted, stored, self._read_time_s())
 
         return await self._write(build)
 
@@ -132,9 +148,7 @@
             )
             if section == stored.document.sections[team]:
                 return None
-            return document.replace_section(
-                stored.document, team, section, write_id=_make_write_id()
-            )
+            return self._replace_section(stored.document, team, section)
 
         return await self._write(build)
 
@@ -200,7 +214,7 @@
 
 
 def _advance_document(
-    wanted: document.Document, stored: Stored | None
+    wanted: document.Document, stored: Stored | None, now_s: int
 ) -> document.Document:
     """Return the next generation; unchanged sections keep their own."""
     generation = wanted.generation + 1
@@ -218,9 +232,8 @@
         write_id=_make_write_id(),
         sections=sections,
     )
-    document.check_document(advanced)
-    document.check_size(advanced)
-    return advanced
+    former = stored.document if stored else None
+    return document.settle_document(former, advanced, now_s=now_s)
 
 
 def _set_draining(
--- a/packages/savoryhaven-ctl/tests/test_editing.py
+++ b/packages/savoryhaven-ctl/tests/test_editing.py
@@ -13,7 +13,7 @@
 
 def make_editor(shared: fakes.Platform) -> editing.Editor:
     client = fakes.MemoryPlatform(shared, 'operator')
-    return editing.Editor(client, timeout_s=10.0)
+    return editing.Editor(client, fakes.LoopClock(), timeout_s=10.0)
 
 
 def make_platform() -> fakes.Platform:
@@ -133,3 +133,62 @@
         assert 'team, other' in str(exc)
     else:
         raise AssertionError('the section was accepted')
+
+
+async def move_upstream(
+    shared: fakes.Platform, endpoint: str
+) -> editing.Applied:
+    """Give the service of the other team an upstream address."""
+    editor = make_editor(shared)
+    section = (await editor.read()).document.sections['other']
+    service = section.services['two']
+    upstream = attrs.evolve(service.upstreams['two-0'], address=endpoint)
+    upstreams = {**service.upstreams, 'two-9': upstream}
+    services = {'two': attrs.evolve(service, upstreams=upstreams)}
+    return await editor.apply_section(
+        'other', attrs.evolve(section, services=services)
+    )
+
+
+async def remove_first_upstream(shared: fakes.Platform) -> None:
+    editor = make_editor(shared)
+    section = (await editor.read()).document.sections['team']
+    service = section.services['one']
+    upstreams = dict(service.upstreams)
+    del upstreams['one-0']
+    services = {'one': attrs.evolve(service, upstreams=upstreams)}
+    await editor.apply_section(
+        'team', attrs.evolve(section, services=services)
+    )
+
+
+@params(('10.9.1.1:5683', 0.0), ('10.9.1.1:5683', 7_100.0))
+@fakes.run_virtually
+async def test_an_address_rests_before_another_service_gets_it(
+    endpoint: str, wait_s: float
+) -> None:
+    shared = make_platform()
+    await remove_first_upstream(shared)
+    await asyncio.sleep(wait_s)
+    try:
+        await move_upstream(shared, endpoint)
+    except errors.DocumentError as exc:
+        assert exc.code == 'SH210', exc
+    else:
+        raise AssertionError('the address was given away at once')
+    await asyncio.sleep(7_300.0 - wait_s)
+    assert (await move_upstream(shared, endpoint)).changed
+    stored = await make_editor(shared).read()
+    assert not stored.document.retired
+
+
+@fakes.run_virtually
+async def test_a_service_may_take_its_own_address_back() -> None:
+    shared = make_platform()
+    stored = await make_editor(shared).read()
+    section = stored.document.sections['team']
+    await remove_first_upstream(shared)
+    back = attrs.evolve(section, changed_in=2)
+    assert (await make_editor(shared).apply_section('team', back)).changed
+    stored = await make_editor(shared).read()
+    assert not stored.document.retired
--- a/packages/savoryhaven/src/_savoryhaven/document.py
+++ b/packages/savoryhaven/src/_savoryhaven/document.py
@@ -17,6 +17,9 @@
 VALUE_LIMIT_BYTES = 1_000_000
 GENERATION_MAX = 2**53
 SEED_MAX = 2**32 - 1
+# An address that one service gives up rests for so long before another may
+# have it. VMs that were cut off may go on sending to it in the meantime.
+REST_S = 7_200
 
 _NAME = r'^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$'
 _ADDRESS = r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$'
@@ -123,6 +126,19 @@
     )
 
 
+@attrs.frozen(kw_only=True)
+class Retired:
+    """An address that a service gave up, and until when it rests."""
+
+    service: str = schema.text(doc='TEAM/SERVICE that had the address')
+    until_s: int = schema.number(
+        minimum=0,
+        maximum=GENERATION_MAX,
+        unit='s since 1970',
+        doc='until then no other service may have it',
+    )
+
+
 @attrs.frozen(kw_only=True)
 class Document:
     """The whole routing document."""
@@ -151,6 +167,9 @@
     sections: dict[str, Section] = schema.part(
         doc='sections by team', factory=dict
     )
+    retired: dict[str, Retired] = schema.part(
+        doc='addresses at rest; set by savoryhavenctl', factory=dict
+    )
 
     def iter_services(self) -> typing.Iterator[tuple[str, str, Service]]:
         """Yield team, name and service, in the document's order."""
@@ -301,39 +320,116 @@
     to its service by the upstream's address alone. Transports are kept
     apart only by protocol number, so TCP and UDP may share a port.
     """
-    claims: dict[tuple[str, addresses.Address], str] = {}
+    holders: dict[str, str] = {}
+    for claim in _iter_claims(document):
+        holder = holders.setdefault(claim.key, claim.path)
+        if holder != claim.path:
+            yield errors.Problem(
+                code=claim.code,
+                message=f'{claim.key} belongs to {holder} already',
+                path=claim.path,
+                hint='give it an address of its own',
+            )
+
+
+@attrs.frozen
+class _Claim:
+    """An address that a service has, for itself or for an upstream."""
+
+    code: str
+    key: str
+    path: str
+    service: str
+
+
+def _iter_claims(document: Document) -> typing.Iterator[_Claim]:
     for team, name, service in document.iter_services():
+        owner = f'{team}/{name}'
         path = f'$.sections.{team}.services.{name}'
         transport = 'tcp' if service.protocol == 'tcp' else 'udp'
-        places = [('SH205', path, service.address)]
+        key = f'{transport}/{addresses.parse_address(service.address)}'
+        yield _Claim('SH205', key, path, owner)
         for upstream_name, upstream in service.upstreams.items():
+            address = addresses.parse_address(upstream.address)
             place = f'{path}.upstreams.{upstream_name}'
-            places.append(('SH206', place, upstream.address))
-        for code, place, text in places:
-            claim = (transport, addresses.parse_address(text))
-            holder = claims.setdefault(claim, place)
-            if holder != place:
-                yield errors.Problem(
-                    code=code,
-                    message=f'{text} belongs to {holder} already',
-                    path=place,
-                    hint='give it an address of its own',
-                )
+            yield _Claim('SH206', f'{transport}/{address}', place, owner)
+
+
+def _rest_addresses(
+    former: Document, changed: Document, now_s: int
+) -> dict[str, Retired]:
+    """Return the addresses at rest after a change.
+
+    Raises ``DocumentError`` ``SH210`` for a service that takes an address
+    which another one has, or had until lately.
+    """
+    before = {claim.key: claim.service for claim in _iter_claims(former)}
+    resting = {
+        key: rest
+        for key, rest in former.retired.items()
+        if rest.until_s > now_s
+    }
+    for key, service in before.items():
+        resting.setdefault(
+            key, Retired(service=service, until_s=now_s + REST_S)
+        )
+    problems = []
+    for claim in _iter_claims(changed):
+        rest = resting.pop(claim.key, None)
+        if rest is not None and rest.service != claim.service:
+            problems.append(_explain_rest(claim, rest, now_s))
+    if problems:
+        raise errors.DocumentError(*problems)
+    return resting
+
+
+def _explain_rest(claim: _Claim, rest: Retired, now_s: int) -> errors.Problem:
+    return errors.Problem(
+        code='SH210',
+        message=f'{claim.key} was an address of {rest.service}',
+        path=claim.path,
+        hint=(
+            f'VMs that were cut off may still send its packets there; '
+            f'take another, or wait {rest.until_s - now_s} s'
+        ),
+    )
 
 
 def replace_section(
-    document: Document, team: str, section: Section, *, write_id: str
+    document: Document,
+    team: str,
+    section: Section,
+    *,
+    write_id: str,
+    now_s: int,
 ) -> Document:
-    """Return the next generation, with one team's section replaced."""
+    """Return the next generation, with one team's section replaced.
+
+    ``now_s`` is the time in seconds since 1970. Raises ``DocumentError``.
+    """
     generation = document.generation + 1
     changed = attrs.evolve(section, changed_in=generation)
     sections = {**document.sections, team: changed}
     changed_document = attrs.evolve(
         document, generation=generation, write_id=write_id, sections=sections
     )
-    check_document(changed_document)
-    check_size(changed_document)
-    return changed_document
+    return settle_document(document, changed_document, now_s=now_s)
+
+
+def settle_document(
+    former: Document | None, changed: Document, *, now_s: int
+) -> Document:
+    """Return a changed document, checked, with the addresses at rest.
+
+    Raises ``DocumentError`` as ``check_document`` and ``check_size`` do, and
+    ``SH210`` for an address that rests.
+    """
+    check_document(changed)
+    if former is not None:
+        resting = _rest_addresses(former, changed, now_s)
+        changed = attrs.evolve(changed, retired=resting)
+    check_size(changed)
+    return changed
 
 
 def check_size(document: Document) -> None:
