Leave out upstreams that nobody hears answer, and bound caches

Cause: a dead upstream that the document still listed went on getting its whole share of new flows. Rankings and owners were cached without a bound that holds at the target size: 4,500 tables of 4,096 buckets, and 200,000 owners a VM.

Each VM now tells the others once a second which upstreams it heard; one that answered nobody for 3 s although 3 flows were opened is tried once in 5 s.

--- a/packages/savoryhaven-standins/src/savoryhaven_standins/fakes.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/fakes.py
@@ -320,9 +320,12 @@
         self.runs: dict[bytes, list[str]] = {}
         self.reached: dict[tuple[str, int], list[str]] = {}
         self.answers: list[tuple[str, dpkt.ip.IP]] = []
-        self.services: dict[str, set[str]] = {}
+        # Called with each packet that reaches an upstream which is alive.
+        self.answer: typing.Callable[[dpkt.ip.IP], None] | None = None
+        self.dead: set[str] = set()
 
     def receive(self, raw: bytes) -> None:
+        """Note a packet that a VM handed to the fabric."""
         packet = dpkt.ip.IP(raw)
         source = _format(packet.src, packet.data.sport)
         target = _format(packet.dst, packet.data.dport)
@@ -334,6 +337,8 @@
             ran = self.runs.setdefault(identity, [])
             if target not in ran:
                 ran.append(target)
+            if self.answer is not None and target not in self.dead:
+                self.answer(packet)
         else:
             self.answers.append((source, packet))
 
@@ -351,7 +356,11 @@
 
 
 def _format(host: bytes, port: int) -> str:
-    return '.'.join(str(part) for part in host) + f':{port}'
+    return f'{_format_host(host)}:{port}'
+
+
+def _format_host(host: bytes) -> str:
+    return '.'.join(str(part) for part in host)
 
 
 class Cluster:
@@ -471,6 +480,18 @@
             ):
                 await asyncio.sleep(0.01)
 
+    def answer_packets(self) -> None:
+        """Let upstreams answer every packet, through random VMs."""
+
+        def answer(packet: dpkt.ip.IP) -> None:
+            source = (_format_host(packet.dst), packet.data.dport)
+            target = (_format_host(packet.src), packet.data.sport)
+            raw = build_packet(source, target, b'answer')
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.001, self.send, raw)
+
+        self.upstreams.answer = answer
+
     def send(self, raw: bytes, via: str | None = None) -> None:
         """Let the fabric hand a packet to a VM, a random one by default."""
         chosen = via or self.random.choice(sorted(self.vms))
--- a/packages/savoryhaven/src/_savoryhaven/admission.py
+++ b/packages/savoryhaven/src/_savoryhaven/admission.py
@@ -63,13 +63,15 @@
         usable = self._list_usable(table, bucket)
         if not usable:
             return refusal
+        default = usable[0]
+        usable = self._leave_out_silent(usable, now)
         open_flows = sum(self._loads.count(t) for t in table.targets)
         if open_flows >= limits.flows:
             return refusal
         target = loads_module.choose_target(usable, self._loads, now)
         if target is None or not self._take_token(table, now):
             return refusal
-        return Place(target, derived=target is usable[0])
+        return Place(target, derived=target is default)
 
     def _list_usable(
         self, table: placement.ServiceTable, bucket: int
@@ -92,6 +94,17 @@
         ]
         return reachable or staying
 
+    def _leave_out_silent(
+        self, usable: list[placement.Target], now: float
+    ) -> list[placement.Target]:
+        """Leave out upstreams that don't answer, unless none does."""
+        answering = [
+            target
+            for target in usable
+            if self._loads.may_try(target.endpoint, now)
+        ]
+        return answering or usable
+
     def keep_services(self, kept: typing.Container[str]) -> None:
         """Forget the allowances of services that left the document."""
         for name in list(self._allowances):
--- a/packages/savoryhaven/src/_savoryhaven/configuration.py
+++ b/packages/savoryhaven/src/_savoryhaven/configuration.py
@@ -19,6 +19,7 @@
 from _savoryhaven import hooks
 from _savoryhaven import messages
 from _savoryhaven import ownership
+from _savoryhaven import placement
 from _savoryhaven import platform
 from _savoryhaven import routing
 
@@ -196,18 +197,26 @@
         context.counters[_Count.DOCUMENT_ADOPTED] += 1
         context.owners.forget_tables()
         context.admission.keep_services(adopted.tables.by_name)
-        first = context.counters[_Count.DOCUMENT_ADOPTED] == 1
         for name in adopted.changed:
             table = adopted.tables.by_name.get(name)
-            if table is None:
+            previous = table and context.routing.find_previous(table)
+            if previous is None:
                 continue
-            previous = context.routing.find_previous(table)
-            known = previous.by_address if previous else {}
-            for address in table.by_address:
-                if not first and previous and address not in known:
-                    context.loads.note_usable(address, now)
-            if previous is not None:
-                self._require_former_owners(name)
+            self._note_upstreams(table, previous, now)
+            self._require_former_owners(name)
+
+    def _note_upstreams(
+        self,
+        table: placement.ServiceTable,
+        previous: placement.ServiceTable,
+        now: float,
+    ) -> None:
+        """Start the ramp of new upstreams, and forget removed ones."""
+        loads = self._context.loads
+        for address in table.by_address.keys() - previous.by_address.keys():
+            loads.note_usable(address, now)
+        for address in previous.by_address.keys() - table.by_address.keys():
+            loads.forget(address)
 
     def _require_former_owners(self, service: str) -> None:
         """Expect flows of buckets that the new table moved here."""
--- a/packages/savoryhaven/src/_savoryhaven/copies.py
+++ b/packages/savoryhaven/src/_savoryhaven/copies.py
@@ -415,6 +415,11 @@
             context.count_in(flow)
             context.pins_due.append((record.service, record.key))
 
+    def keep_peers(self, known: typing.Container[str]) -> None:
+        """Forget crashes of VMs that are no members any more."""
+        for vm_id in [v for v in self._crashed if v not in known]:
+            del self._crashed[vm_id]
+
     def _note_event(self, event: membership.Event, now: float) -> None:
         match event:
             case membership.Departed(record):
--- a/packages/savoryhaven/src/_savoryhaven/inheritance.py
+++ b/packages/savoryhaven/src/_savoryhaven/inheritance.py
@@ -243,6 +243,11 @@
         peer = self._peers.get(vm_id)
         return peer.copies_view if peer else None
 
+    def keep_peers(self, known: typing.Container[str]) -> None:
+        """Forget peers that are no members any more."""
+        for vm_id in [v for v in self._peers if v not in known]:
+            del self._peers[vm_id]
+
     def reset(self) -> None:
         """Forget everything, as this VM was taken for dead."""
         self._peers.clear()
--- a/packages/savoryhaven/src/_savoryhaven/loads.py
+++ b/packages/savoryhaven/src/_savoryhaven/loads.py
@@ -24,6 +24,24 @@
 BALANCE_BOUND = 1.03
 
 
+# An upstream counts as silent if it answered nobody for so long, although at
+# least so many flows were opened there since its last answer.
+SILENCE_S = 3.0
+SILENCE_OPENINGS = 3
+# A silent upstream is tried with one new flow in so many seconds.
+TRIAL_INTERVAL_S = 5.0
+
+
+@attrs.define
+class _Contact:
+    """When an upstream answered, and what was asked of it since."""
+
+    heard_at: float
+    openings: int = 0
+    first_opening_at: float = 0.0
+    tried_at: float = 0.0
+
+
 @attrs.frozen
 class Report:
     """What an upstream said of itself: busy slots as a share of all."""
@@ -41,6 +59,8 @@
         self._others: dict[str, int] = {}
         self._reports: dict[str, Report] = {}
         self._usable_since: dict[str, float] = {}
+        self._contacts: dict[str, _Contact] = {}
+        self._heard: set[str] = set()
 
     def note_peer(
         self, vm_id: str, counts: dict[str, int], now: float
@@ -49,6 +69,59 @@
         self._peers[vm_id] = (now, counts)
         self._sum_peers(now)
 
+    def note_answer(self, endpoint: str, now: float) -> None:
+        """Note that an upstream answered, whoever its caller is."""
+        self._heard.add(endpoint)
+        self.note_answer_elsewhere(endpoint, now)
+
+    def note_answer_elsewhere(self, endpoint: str, now: float) -> None:
+        """Note that another VM heard an upstream answer."""
+        contact = self._contacts.get(endpoint)
+        if contact is not None:
+            contact.heard_at = now
+            contact.openings = 0
+
+    def note_opening(self, endpoint: str, now: float) -> None:
+        """Note that a flow was opened at an upstream."""
+        contact = self._contacts.get(endpoint)
+        if contact is None:
+            contact = _Contact(now)
+            self._contacts[endpoint] = contact
+        if not contact.openings:
+            contact.first_opening_at = now
+        contact.openings += 1
+
+    def take_heard(self) -> tuple[str, ...]:
+        """Return the upstreams that answered since the last call."""
+        heard = tuple(sorted(self._heard))
+        self._heard.clear()
+        return heard
+
+    def may_try(self, endpoint: str, now: float) -> bool:
+        """Return whether an upstream may get a new flow: is it not silent?
+
+        Answers pass through any VM, so other VMs tell what they heard. A
+        silent upstream is tried now and then.
+        """
+        contact = self._contacts.get(endpoint)
+        if contact is None or contact.openings < SILENCE_OPENINGS:
+            return True
+        if now - contact.first_opening_at < SILENCE_S:
+            return True
+        if now - contact.tried_at < TRIAL_INTERVAL_S:
+            return False
+        contact.tried_at = now
+        return True
+
+    def list_silent(self, now: float) -> list[str]:
+        """Return the upstreams that count as silent."""
+        return [
+            endpoint
+            for endpoint, contact in self._contacts.items()
+            if contact.openings >= SILENCE_OPENINGS
+            and now - contact.first_opening_at >= SILENCE_S
+        ]
+
     def note_report(
         self, address: str, utilisation: float, now: float
     ) -> None:
@@ -62,6 +135,7 @@
     def forget(self, address: str) -> None:
         """Forget an upstream that is no longer in the document."""
         self._usable_since.pop(address, None)
+        self._contacts.pop(address, None)
         self._reports.pop(address, None)
 
     def expire(self, now: float) -> None:
--- a/packages/savoryhaven/src/_savoryhaven/messages.py
+++ b/packages/savoryhaven/src/_savoryhaven/messages.py
@@ -141,10 +141,14 @@
 
 @attrs.frozen
 class LoadReport:
-    """Live flows of the sender by upstream address."""
+    """What the sender knows of upstreams, by address.
+
+    Its live flows, and which upstreams have answered since its last report.
+    """
 
     vm_id: str
     flows: dict[str, int]
+    heard: tuple[str, ...]
 
 
 @attrs.frozen
--- a/packages/savoryhaven/src/_savoryhaven/operator_api.py
+++ b/packages/savoryhaven/src/_savoryhaven/operator_api.py
@@ -111,6 +111,7 @@
 ) -> dict[str, typing.Any]:
     """Return the whole state of the process, the flows as counts."""
     tables = context.routing.tables
+    now = context.clock.read_monotonic()
     loads = {}
     services = tables.by_name.values() if tables else ()
     for table in services:
@@ -125,6 +126,7 @@
         'settings': schema.dump(context.settings),
         'counters': context.counters.as_values(),
         'upstreams': loads,
+        'silent_upstreams': context.loads.list_silent(now),
         'leaving_upstreams': sorted(context.routing.view.leaving),
         'gone_domains': sorted(context.owners.gone_domains),
         'copies_held': dict(copies.count_copies(context)),
--- a/packages/savoryhaven/src/_savoryhaven/ownership.py
+++ b/packages/savoryhaven/src/_savoryhaven/ownership.py
@@ -15,7 +15,8 @@
 OWNERS_PER_DOMAIN = 8
 # A VM that joined may have pushed another one off the list of candidates.
 FORMER_MARGIN = 2
-CACHE_LIMIT = 200_000
+# Per failure domain, at about 300 B each.
+CACHE_LIMIT = 10_000
 
 
 @attrs.frozen
@@ -80,7 +81,8 @@
         found = home.owned.get(key)
         if found is not None:
             return found
-        if self._abroad_version != self._members.version:
+        stale = self._abroad_version != self._members.version
+        if stale or len(self._abroad) > CACHE_LIMIT:
             self._abroad.clear()
             self._abroad_version = self._members.version
         found = self._abroad.get(key)
--- a/packages/savoryhaven/src/_savoryhaven/placement.py
+++ b/packages/savoryhaven/src/_savoryhaven/placement.py
@@ -17,6 +17,8 @@
 from _savoryhaven import addresses
 from _savoryhaven import document
 
+# About 300 B each.
+RANKS_LIMIT = 50_000
 _HASH_RANGE = 2**64
 _BUCKET_FORMAT = struct.Struct('>I')
 
@@ -50,11 +52,30 @@
     leaving: frozenset[str] = frozenset()
 
 
+class Ranks(dict):
+    """Rankings that were computed, bounded over all tables together.
+
+    Far more buckets pass through a VM than it owns.
+    """
+
+    def add(
+        self, key: tuple['ServiceTable', int], ranked: tuple[Target, ...]
+    ) -> None:
+        """Keep a ranking; at the bound all are dropped and come again."""
+        if len(self) >= RANKS_LIMIT:
+            self.clear()
+        self[key] = ranked
+
+
 class ServiceTable:
     """The table of one service in one generation of the document."""
 
     def __init__(
-        self, name: str, service: document.Service, seed: int
+        self,
+        name: str,
+        service: document.Service,
+        seed: int,
+        ranks: Ranks | None = None,
     ) -> None:
         self.name: typing.Final = name
         self.service: typing.Final = service
@@ -71,7 +92,7 @@
         self.slots: typing.Final = sum(t.slots for t in self.targets)
         self._seed = seed
         self._service_hash = xxhash.xxh64_intdigest(name.encode(), seed)
-        self._ranks: dict[int, tuple[Target, ...]] = {}
+        self._ranks: typing.Final = Ranks() if ranks is None else ranks
 
     def find_bucket(self, flow_key: bytes) -> int:
         """Return the bucket of a flow."""
@@ -85,7 +106,7 @@
 
     def rank_targets(self, bucket: int) -> tuple[Target, ...]:
         """Return the upstreams of a bucket, best first."""
-        ranked = self._ranks.get(bucket)
+        ranked = self._ranks.get((self, bucket))
         if ranked is None:
             seed = self.hash_bucket(bucket)
             ranked = tuple(
@@ -95,7 +116,7 @@
                     reverse=True,
                 )
             )
-            self._ranks[bucket] = ranked
+            self._ranks.add((self, bucket), ranked)
         return ranked
 
     def derive_target(
@@ -125,6 +146,7 @@
     ) -> None:
         self.document: typing.Final = routing
         reusable = self._find_reusable(former)
+        self._ranks: typing.Final = former._ranks if former else Ranks()
         self.by_name: typing.Final[dict[str, ServiceTable]] = {}
         self.by_address: typing.Final[dict[bytes, ServiceTable]] = {}
         self.by_upstream: typing.Final[dict[bytes, ServiceTable]] = {}
@@ -132,7 +154,9 @@
             full_name = f'{team}/{name}'
             table = reusable.get(full_name)
             if table is None or table.service != service:
-                table = ServiceTable(full_name, service, routing.hash_seed)
+                table = ServiceTable(
+                    full_name, service, routing.hash_seed, self._ranks
+                )
             self.by_name[full_name] = table
             transport = transport_of(service.protocol)
             self.by_address[build_key(transport, table.address)] = table
@@ -156,6 +180,12 @@
     return 6 if protocol == 'tcp' else 17
 
 
+def format_key(key: bytes) -> str:
+    """Return the address in a key of the tables, as text."""
+    host = '.'.join(str(part) for part in key[1:5])
+    return f'{host}:{int.from_bytes(key[5:7])}'
+
+
 def build_key(transport: int, address: addresses.Address) -> bytes:
     """Return the key under which tables list an address."""
     return bytes((transport,)) + address.packed + address.port.to_bytes(2)
--- a/packages/savoryhaven/src/_savoryhaven/router.py
+++ b/packages/savoryhaven/src/_savoryhaven/router.py
@@ -152,6 +152,7 @@
         if origin is None:
             self._count(_Count.DROPPED_FOREIGN)
             return
+        self._context.loads.note_answer(origin.endpoint, now)
         raw = packets.replace_source(packet, origin.host, origin.port)
         self._outlet.send_to_fabric(raw)
         self._count(_Count.ANSWERED)
@@ -467,6 +468,7 @@
     def _open(self, arrival: Arrival, target: placement.Target) -> None:
         now = self._context.clock.read_monotonic()
         self._record(arrival, target, now)
+        self._context.loads.note_opening(target.endpoint, now)
         self._count(_Count.OPENED)
         self._send(arrival, target)
 
--- a/packages/savoryhaven/src/_savoryhaven/routing.py
+++ b/packages/savoryhaven/src/_savoryhaven/routing.py
@@ -23,6 +23,7 @@
     host: bytes
     port: int
     service: str
+    endpoint: str
 
 
 @attrs.frozen
@@ -173,7 +174,12 @@
     def _replace_origins(self, tables: placement.Tables, now: float) -> None:
         former = self._origins
         self._origins = {
-            key: Origin(table.host, table.address.port, table.name)
+            key: Origin(
+                table.host,
+                table.address.port,
+                table.name,
+                placement.format_key(key),
+            )
             for key, table in tables.by_upstream.items()
         }
         until = now + REVERSE_LINGER_S
--- a/packages/savoryhaven/src/_savoryhaven/vm.py
+++ b/packages/savoryhaven/src/_savoryhaven/vm.py
@@ -249,9 +249,11 @@
                 )
             case messages.CopyAck():
                 self._offers.acknowledge(message)
-            case messages.LoadReport(vm_id, flows):
+            case messages.LoadReport(vm_id, flows, heard):
                 now = self.context.clock.read_monotonic()
                 self.context.loads.note_peer(vm_id, flows, now)
+                for endpoint in heard:
+                    self.context.loads.note_answer_elsewhere(endpoint, now)
             case messages.Announcement(sender, knowledge):
                 now = self.context.clock.read_monotonic()
                 self.context.members.merge(sender, now)
@@ -442,6 +444,9 @@
                     # Its copies have to end as well.
                     context.pins_due.append((service, key))
             context.tombstones.expire(now)
+            known = {m.vm_id for m in context.members.list_members()}
+            context.inheritance.keep_peers(known)
+            self._copier.keep_peers(known)
 
     async def _run_overdue(self) -> None:
         """Go on without peers that owe a handover for too long.
@@ -464,10 +469,11 @@
             await asyncio.sleep(LOAD_INTERVAL_S)
             largest = context.loads.own.most_common(LOADS_PER_DATAGRAM)
             counts = {endpoint: count for endpoint, count in largest if count}
-            if not counts:
+            heard = context.loads.take_heard()[:LOADS_PER_DATAGRAM]
+            if not counts and not heard:
                 continue
             peers = context.members.list_peers()
             chosen = context.random.sample(peers, min(len(peers), LOAD_PEERS))
-            report = messages.LoadReport(context.vm_id, counts)
+            report = messages.LoadReport(context.vm_id, counts, heard)
             for peer in chosen:
                 self._peers.send(peer.vm_id, report)
--- a/packages/savoryhaven/tests/test_placement.py
+++ b/packages/savoryhaven/tests/test_placement.py
@@ -92,3 +92,15 @@
     reseeded = document.attrs.evolve(whole, hash_seed=8)
     second = placement.Tables(reseeded, first)
     assert second.by_name['other/two'] is not first.by_name['other/two']
+
+
+def test_kept_rankings_are_bounded_over_all_tables() -> None:
+    tables = placement.Tables(fakes.make_document())
+    ranks = tables.by_name['team/one']._ranks
+    assert ranks is tables.by_name['other/two']._ranks
+    limit = placement.RANKS_LIMIT
+    for number in range(limit + 10):
+        ranks.add((tables.by_name['team/one'], number), ())
+    assert len(ranks) <= limit
+    later = placement.Tables(fakes.make_document(generation=2), tables)
+    assert later.by_name['team/one']._ranks is ranks
