Let load reports shift a weight by 5 %, and look at members less often

Cause: in the scene with one lying host the imbalance was 1.16 (lenders) and 1.17 (Trentside), above that of consistent hashing, as reports shifted weights by 10 %.

Also, every VM walked through all members up to 30 times a second, for expiry, for cleaning and to see whether it was a reader: now 2 to 8 times.

Ruled out: dropping reports altogether was not measured.

--- a/packages/savoryhaven/src/_savoryhaven/configuration.py
+++ b/packages/savoryhaven/src/_savoryhaven/configuration.py
@@ -28,6 +28,8 @@
 # Each VM that adopts a document announces it to ln(n) peers and so many more,
 # which leaves hardly any VM to learn of it by its next probe only.
 ANNOUNCE_PEERS = 4
+# How often a VM looks whether it has become a reader.
+READER_CHECK_S = 0.5
 # VMs that are no readers look at the list this seldom, to learn which
 # domains are gone.
 SLOW_LIST_INTERVAL_S = 30.0
@@ -107,7 +109,7 @@
         retry_s = RETRY_MIN_S
         while True:
             if not self.is_reader():
-                await asyncio.sleep(RETRY_MIN_S)
+                await asyncio.sleep(READER_CHECK_S)
                 continue
             self._context.counters[_Count.PLATFORM_CALLS] += 1
             try:
--- a/packages/savoryhaven/src/_savoryhaven/detector.py
+++ b/packages/savoryhaven/src/_savoryhaven/detector.py
@@ -9,6 +9,8 @@
 from _savoryhaven import messages
 
 HEARTBEAT_INTERVAL_S = 0.1
+# All members are looked at for expiry once in so many heartbeats.
+EXPIRY_BEATS = 5
 INDIRECT_PROBES = 3
 # One probe in so many goes to a VM that counts as dead.
 DEAD_PROBE_PERIOD = 4
@@ -35,10 +37,11 @@
     async def run_heartbeat(self) -> None:
         """Notice pauses of this process, and ask about itself after one."""
         context = self._context
-        while True:
+        for beat in itertools.count():
             now = context.clock.read_monotonic()
             context.standing.tick(now)
-            context.members.expire(now)
+            if beat % EXPIRY_BEATS == 0:
+                context.members.expire(now)
             if context.standing.in_doubt(now):
                 self._ask_about_myself()
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
--- a/packages/savoryhaven/src/_savoryhaven/loads.py
+++ b/packages/savoryhaven/src/_savoryhaven/loads.py
@@ -13,8 +13,8 @@
 from _savoryhaven import placement
 
 REPORT_AGE_S = 5.0
-REPORT_FACTOR_MIN = 0.9
-REPORT_FACTOR_MAX = 1.1
+REPORT_FACTOR_MIN = 0.95
+REPORT_FACTOR_MAX = 1.05
 PEER_AGE_S = 5.0
 # A new upstream takes a growing share, so that its caches can warm up.
 RAMP_S = 30.0
--- a/packages/savoryhaven/src/_savoryhaven/vm.py
+++ b/packages/savoryhaven/src/_savoryhaven/vm.py
@@ -431,6 +431,7 @@
     async def _run_sweeps(self) -> None:
         """Expire flows and refusals, a piece at a time."""
         context = self.context
+        cleaned_for = 0
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             now = context.clock.read_monotonic()
@@ -444,9 +445,11 @@
                     # Its copies have to end as well.
                     context.pins_due.append((service, key))
             context.tombstones.expire(now)
-            known = {m.vm_id for m in context.members.list_members()}
-            context.inheritance.keep_peers(known)
-            self._copier.keep_peers(known)
+            if cleaned_for != context.members.version:
+                cleaned_for = context.members.version
+                known = {m.vm_id for m in context.members.list_members()}
+                context.inheritance.keep_peers(known)
+                self._copier.keep_peers(known)
 
     async def _run_overdue(self) -> None:
         """Go on without peers that owe a handover for too long.
--- a/packages/savoryhaven/tests/test_loads.py
+++ b/packages/savoryhaven/tests/test_loads.py
@@ -43,7 +43,7 @@
     assert loads.choose_target(TARGETS, held, 0.0) is None
 
 
-def test_a_lying_report_moves_a_weight_by_a_tenth_at_most() -> None:
+def test_a_lying_report_moves_a_weight_within_its_limits() -> None:
     held = make_loads(10, 10, 10, 10)
     for target in TARGETS:
         held.note_report(target.endpoint, 1.0, 0.0)
