Start a failed task again instead of ending the VM

Cause: an unexpected exception in any of a VM's tasks ended the task group and with it the VM and its flows.

Ruled out: letting the platform restart the VM; its flows would wait 4 s.

test_vm failed first: the VM ended on an induced KeyError. A planned stop with all peers cut off ends within its bound (10 s).

--- a/packages/savoryhaven/src/_savoryhaven/vm.py
+++ b/packages/savoryhaven/src/_savoryhaven/vm.py
@@ -34,8 +34,13 @@
 LOADS_PER_DATAGRAM = 100
 SYNC_ROUNDS = 3
 
+# A task that failed unexpectedly is started again after so long.
+RESTART_S = 1.0
+
 _Count = counters.Count
 
+Work = typing.Callable[[], typing.Awaitable[None]]
+
 
 class Vm:
     """One entry VM. ``run`` returns after the planned stop."""
@@ -119,29 +124,30 @@
 
     async def _serve(self) -> None:
         async with asyncio.TaskGroup() as group:
-            tasks = [group.create_task(work) for work in self._list_work()]
+            tasks = [
+                group.create_task(_keep_running(work))
+                for work in self._list_work()
+            ]
             await self._stopping.wait()
             await self._stop()
             for task in tasks:
                 task.cancel()
 
-    def _list_work(
-        self,
-    ) -> list[typing.Coroutine[typing.Any, typing.Any, None]]:
+    def _list_work(self) -> list[Work]:
         return [
-            self._detector.run_heartbeat(),
-            self._detector.run_probes(),
-            self.configuration.run_watch(),
-            self.configuration.run_reads(),
-            self.configuration.run_list(),
-            self.configuration.run_slow_list(),
-            self.configuration.run_fetches(),
-            self._copier.run(),
-            self._offers.run(),
-            self._collector.run(),
-            self._run_sweeps(),
-            self._run_overdue(),
-            self._run_loads(),
+            self._detector.run_heartbeat,
+            self._detector.run_probes,
+            self.configuration.run_watch,
+            self.configuration.run_reads,
+            self.configuration.run_list,
+            self.configuration.run_slow_list,
+            self.configuration.run_fetches,
+            self._copier.run,
+            self._offers.run,
+            self._collector.run,
+            self._run_sweeps,
+            self._run_overdue,
+            self._run_loads,
         ]
 
     async def _close(self) -> None:
@@ -489,3 +495,16 @@
             )
             for peer in chosen:
                 self._peers.send(peer.vm_id, report)
+
+
+async def _keep_running(work: Work) -> None:
+    """Run one of a VM's tasks, and run it again should it fail.
+
+    A fault in one of them must not end the VM, which holds open flows.
+    """
+    while True:
+        try:
+            await work()
+        except Exception as exc:
+            logger.exception('SH408: {} failed: {}', work.__name__, exc)
+            await asyncio.sleep(RESTART_S)
