Split the document's checks and changes off its shape

document.py had grown to 490 lines with three jobs: the shape, whether its parts fit together, and how one document follows from another.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -17,6 +17,8 @@
 import common
 from loguru import logger
 
+from _savoryhaven import changes
+from _savoryhaven import checks
 from _savoryhaven import counters
 from _savoryhaven import document
 from _savoryhaven import flows
@@ -145,19 +147,19 @@
     text = document.dump_document(loaded)
     gc.collect()
     tracemalloc.start()
-    loaded = document.parse_document(text)
+    loaded = checks.parse_document(text)
     tables = placement.Tables(loaded)
     memory, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     started_at = time.process_time()
-    document.check_document(loaded)
+    checks.check_document(loaded)
     team = loaded.teams[0]
-    changed = document.replace_section(
+    changed = changes.replace_section(
         loaded, team, loaded.sections[team], write_id='x', now_s=1
     )
     placement.Tables(changed, tables)
     change_s = time.process_time() - started_at
-    change = document.extract_change(changed, 1)
+    change = changes.extract_change(changed, 1)
     update = messages.Update(change, 1, (), (), ())
     sent = len(messages.encode_message(update))
     return {
--- a/packages/savoryhaven-ctl/src/_savoryhaven_ctl/commands.py
+++ b/packages/savoryhaven-ctl/src/_savoryhaven_ctl/commands.py
@@ -15,6 +15,8 @@
 from rich import console as rich_console
 from rich import table as rich_table
 
+from _savoryhaven import changes
+from _savoryhaven import checks
 from _savoryhaven import clock
 from _savoryhaven import document
 from _savoryhaven import errors
@@ -145,12 +147,12 @@
         """Check, changing nothing."""
         team = self.option('team')
         if not team:
-            document.parse_document(self._read_file())
+            checks.parse_document(self._read_file())
         else:
             section = self._read_section()
             stored = await self._make_editor().read()
             if stored is not None:
-                document.replace_section(
+                changes.replace_section(
                     stored.document,
                     team,
                     section,
@@ -182,7 +184,7 @@
         if team:
             applied = await editor.apply_section(team, self._read_section())
         else:
-            wanted = document.parse_document(self._read_file())
+            wanted = checks.parse_document(self._read_file())
             applied = await editor.apply_document(wanted)
         behind: list[str] = []
         if self.option('wait'):
@@ -258,7 +260,7 @@
             held = held and held['sections'].get(team)
         else:
             text = self._read_file()
-            wanted = schema.dump(document.parse_document(text))
+            wanted = schema.dump(checks.parse_document(text))
         lines = list(
             difflib.unified_diff(
                 _render(held), _render(wanted), 'stored', 'yours', lineterm=''
--- a/packages/savoryhaven-ctl/src/_savoryhaven_ctl/editing.py
+++ b/packages/savoryhaven-ctl/src/_savoryhaven_ctl/editing.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from _savoryhaven import changes
 from _savoryhaven import document
 from _savoryhaven import errors
 from _savoryhaven import hooks
@@ -97,7 +98,7 @@
     def _replace_section(
         self, stored: document.Document, team: str, section: document.Section
     ) -> document.Document:
-        return document.replace_section(
+        return changes.replace_section(
             stored,
             team,
             section,
@@ -233,7 +234,7 @@
         sections=sections,
     )
     former = stored.document if stored else None
-    return document.settle_document(former, advanced, now_s=now_s)
+    return changes.settle_document(former, advanced, now_s=now_s)
 
 
 def _set_draining(
--- a/packages/savoryhaven/src/_savoryhaven/configuration.py
+++ b/packages/savoryhaven/src/_savoryhaven/configuration.py
@@ -12,6 +12,7 @@
 
 from loguru import logger
 
+from _savoryhaven import changes
 from _savoryhaven import context as context_module
 from _savoryhaven import counters
 from _savoryhaven import document
@@ -355,7 +356,7 @@
         if update.change is not None:
             tables = context.routing.tables
             base = tables.document if tables else None
-            merged = document.merge_change(base, update.change)
+            merged = changes.merge_change(base, update.change)
             self.offer_document(merged, f'peer {source}')
         if update.list_revision > context.routing.list_revision:
             context.owners.set_gone_domains(frozenset(update.gone_domains))
@@ -367,7 +368,7 @@
         state = context.routing
         change = None
         if state.generation > fetch.generation:
-            change = document.extract_change(
+            change = changes.extract_change(
                 state.tables.document, fetch.generation
             )
         members: tuple[messages.MemberRecord, ...] = ()
--- a/packages/savoryhaven/src/_savoryhaven/document.py
+++ b/packages/savoryhaven/src/_savoryhaven/document.py
@@ -1,8 +1,8 @@
-"""The routing document: one section per team, checked as a whole.
+"""The routing document: its parts, and their JSON form.
 
 A document is immutable. ``generation`` counts the accepted changes; a section
-remembers the generation that changed it last, so that a peer that has
-generation 7 can be sent just the sections that changed after it.
+remembers the generation that changed it last. ``checks`` says whether the
+parts fit together, ``changes`` how one document follows from another.
 """
 
 import json
@@ -10,16 +10,11 @@
 
 import attrs
 
-from _savoryhaven import addresses
 from _savoryhaven import errors
 from _savoryhaven import schema
 
-VALUE_LIMIT_BYTES = 1_000_000
 GENERATION_MAX = 2**53
 SEED_MAX = 2**32 - 1
-# An address that one service gives up rests for so long before another may
-# have it. VMs that were cut off may go on sending to it in the meantime.
-REST_S = 7_200
 
 _NAME = r'^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$'
 _ADDRESS = r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$'
@@ -178,28 +173,6 @@
                 yield team, name, service
 
 
-@attrs.frozen
-class SectionChange:
-    """What a peer lacks: the sections that changed after a generation."""
-
-    base_generation: int
-    document: Document
-    unchanged: tuple[str, ...]
-
-
-def parse_document(source: str) -> Document:
-    """Return the valid document in a JSON text.
-
-    Raises ``DocumentError``: ``SH200`` empty, ``SH201`` syntax, ``SH202`` a
-    key, type or range, ``SH203`` to ``SH208`` as ``check_document`` states,
-    ``SH207`` for more than ``VALUE_LIMIT_BYTES``.
-    """
-    _check_bytes(len(source.encode()))
-    document = load_document(parse_json(source))
-    check_document(document)
-    return document
-
-
 def parse_json(source: str) -> typing.Any:
     """Return the value of a JSON text; errors tell line and column."""
     if not source.strip():
@@ -239,244 +212,6 @@
     return json.dumps(schema.dump(document), separators=(',', ':'))
 
 
-def check_document(document: Document) -> None:
-    """Raise ``DocumentError`` for each claim that clashes.
-
-    ``SH203`` unknown team, ``SH204`` unknown failure domain, ``SH205`` two
-    services at one address, ``SH206`` an upstream address that another
-    service has, ``SH208`` an address that isn't one.
-    """
-    problems = list(_find_unknown_teams(document))
-    problems.extend(_find_bad_addresses(document))
-    problems.extend(_find_unknown_domains(document))
-    if not problems:
-        problems.extend(_find_shared_addresses(document))
-    if problems:
-        raise errors.DocumentError(*problems)
-
-
-def _find_unknown_teams(
-    document: Document,
-) -> typing.Iterator[errors.Problem]:
-    for team in document.sections:
-        if team not in document.teams:
-            yield errors.Problem(
-                code='SH203',
-                message=f'{team!r} is not a team of this document',
-                path=f'$.sections.{team}',
-                hint=f'teams are {", ".join(document.teams)}',
-            )
-
-
-def _iter_addresses(
-    document: Document,
-) -> typing.Iterator[tuple[str, str, str]]:
-    """Yield path, kind and text of every address."""
-    for team, name, service in document.iter_services():
-        path = f'$.sections.{team}.services.{name}'
-        yield path, 'service', service.address
-        for upstream_name, upstream in service.upstreams.items():
-            place = f'{path}.upstreams.{upstream_name}'
-            yield place, 'upstream', upstream.address
-            if upstream.report:
-                yield place, 'report', upstream.report
-
-
-def _find_bad_addresses(
-    document: Document,
-) -> typing.Iterator[errors.Problem]:
-    for path, _, text in _iter_addresses(document):
-        try:
-            addresses.parse_address(text)
-        except ValueError as exc:
-            yield errors.Problem(code='SH208', message=str(exc), path=path)
-
-
-def _find_unknown_domains(
-    document: Document,
-) -> typing.Iterator[errors.Problem]:
-    known = set(document.failure_domains)
-    for team, name, service in document.iter_services():
-        for upstream_name, upstream in service.upstreams.items():
-            if upstream.failure_domain in known:
-                continue
-            yield errors.Problem(
-                code='SH204',
-                message=f'unknown failure domain {upstream.failure_domain!r}',
-                path=(
-                    f'$.sections.{team}.services.{name}'
-                    f'.upstreams.{upstream_name}'
-                ),
-                hint=f'known are {", ".join(document.failure_domains)}',
-            )
-
-
-def _find_shared_addresses(
-    document: Document,
-) -> typing.Iterator[errors.Problem]:
-    """Yield a problem for each address that two places claim.
-
-    An upstream address belongs to one service, because an answer is matched
-    to its service by the upstream's address alone. Transports are kept
-    apart only by protocol number, so TCP and UDP may share a port.
-    """
-    holders: dict[str, str] = {}
-    for claim in _iter_claims(document):
-        holder = holders.setdefault(claim.key, claim.path)
-        if holder != claim.path:
-            yield errors.Problem(
-                code=claim.code,
-                message=f'{claim.key} belongs to {holder} already',
-                path=claim.path,
-                hint='give it an address of its own',
-            )
-
-
-@attrs.frozen
-class _Claim:
-    """An address that a service has, for itself or for an upstream."""
-
-    code: str
-    key: str
-    path: str
-    service: str
-
-
-def _iter_claims(document: Document) -> typing.Iterator[_Claim]:
-    for team, name, service in document.iter_services():
-        owner = f'{team}/{name}'
-        path = f'$.sections.{team}.services.{name}'
-        transport = 'tcp' if service.protocol == 'tcp' else 'udp'
-        key = f'{transport}/{addresses.parse_address(service.address)}'
-        yield _Claim('SH205', key, path, owner)
-        for upstream_name, upstream in service.upstreams.items():
-            address = addresses.parse_address(upstream.address)
-            place = f'{path}.upstreams.{upstream_name}'
-            yield _Claim('SH206', f'{transport}/{address}', place, owner)
-
-
-def _rest_addresses(
-    former: Document, changed: Document, now_s: int
-) -> dict[str, Retired]:
-    """Return the addresses at rest after a change.
-
-    Raises ``DocumentError`` ``SH210`` for a service that takes an address
-    which another one has, or had until lately.
-    """
-    before = {claim.key: claim.service for claim in _iter_claims(former)}
-    resting = {
-        key: rest
-        for key, rest in former.retired.items()
-        if rest.until_s > now_s
-    }
-    for key, service in before.items():
-        resting.setdefault(
-            key, Retired(service=service, until_s=now_s + REST_S)
-        )
-    problems = []
-    for claim in _iter_claims(changed):
-        rest = resting.pop(claim.key, None)
-        if rest is not None and rest.service != claim.service:
-            problems.append(_explain_rest(claim, rest, now_s))
-    if problems:
-        raise errors.DocumentError(*problems)
-    return resting
-
-
-def _explain_rest(claim: _Claim, rest: Retired, now_s: int) -> errors.Problem:
-    return errors.Problem(
-        code='SH210',
-        message=f'{claim.key} was an address of {rest.service}',
-        path=claim.path,
-        hint=(
-            f'VMs that were cut off may still send its packets there; '
-            f'take another, or wait {rest.until_s - now_s} s'
-        ),
-    )
-
-
-def replace_section(
-    document: Document,
-    team: str,
-    section: Section,
-    *,
-    write_id: str,
-    now_s: int,
-) -> Document:
-    """Return the next generation, with one team's section replaced.
-
-    ``now_s`` is the time in seconds since 1970. Raises ``DocumentError``.
-    """
-    generation = document.generation + 1
-    changed = attrs.evolve(section, changed_in=generation)
-    sections = {**document.sections, team: changed}
-    changed_document = attrs.evolve(
-        document, generation=generation, write_id=write_id, sections=sections
-    )
-    return settle_document(document, changed_document, now_s=now_s)
-
-
-def settle_document(
-    former: Document | None, changed: Document, *, now_s: int
-) -> Document:
-    """Return a changed document, checked, with the addresses at rest.
-
-    Raises ``DocumentError`` as ``check_document`` and ``check_size`` do, and
-    ``SH210`` for an address that rests.
-    """
-    check_document(changed)
-    if former is not None:
-        resting = _rest_addresses(former, changed, now_s)
-        changed = attrs.evolve(changed, retired=resting)
-    check_size(changed)
-    return changed
-
-
-def check_size(document: Document) -> None:
-    """Raise ``DocumentError`` ``SH207`` for what the platform can't hold."""
-    _check_bytes(len(dump_document(document).encode()))
-
-
-def _check_bytes(size: int) -> None:
-    if size > VALUE_LIMIT_BYTES:
-        raise fail(
-            'SH207',
-            f'{size} bytes; the platform holds {VALUE_LIMIT_BYTES}',
-            hint='move teams to a document of their own',
-        )
-
-
-def extract_change(document: Document, base_generation: int) -> SectionChange:
-    """Return what a holder of an older generation lacks."""
-    changed = {}
-    unchanged = []
-    for team, section in document.sections.items():
-        if section.changed_in > base_generation:
-            changed[team] = section
-        else:
-            unchanged.append(team)
-    return SectionChange(
-        base_generation=base_generation,
-        document=attrs.evolve(document, sections=changed),
-        unchanged=tuple(unchanged),
-    )
-
-
-def merge_change(base: Document | None, change: SectionChange) -> Document:
-    """Return the whole document that a change leads to.
-
-    Raises ``DocumentError`` ``SH209`` when the base lacks a section, or
-    holds one that differs from what the sender called unchanged.
-    """
-    sections = dict(change.document.sections)
-    for team in change.unchanged:
-        held = base.sections.get(team) if base else None
-        if held is None or held.changed_in > change.base_generation:
-            raise fail('SH209', f'the change builds on a lost section {team}')
-        sections[team] = held
-    return attrs.evolve(change.document, sections=sections)
-
-
 def fail(
     code: str, message: str, *, path: str = '', hint: str = ''
 ) -> errors.DocumentError:
--- a/packages/savoryhaven/src/_savoryhaven/messages.py
+++ b/packages/savoryhaven/src/_savoryhaven/messages.py
@@ -12,6 +12,7 @@
 import cattrs
 import cbor2
 
+from _savoryhaven import changes
 from _savoryhaven import document
 from _savoryhaven import errors
 from _savoryhaven import schema
@@ -171,7 +172,7 @@
 class Update:
     """Answers a fetch; absent parts were not newer."""
 
-    change: document.SectionChange | None
+    change: changes.SectionChange | None
     list_revision: int
     leaving: tuple[str, ...]
     gone_domains: tuple[str, ...]
--- a/packages/savoryhaven/src/_savoryhaven/routing.py
+++ b/packages/savoryhaven/src/_savoryhaven/routing.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from _savoryhaven import checks
 from _savoryhaven import document as document_module
 from _savoryhaven import placement
 
@@ -82,7 +83,7 @@
         """
         if document.generation <= self.generation:
             return Ignored(document.generation)
-        document_module.check_document(document)
+        checks.check_document(document)
         former = self.tables
         tables = placement.Tables(document, former)
         self.tables = tables
--- a/packages/savoryhaven/tests/test_configuration.py
+++ b/packages/savoryhaven/tests/test_configuration.py
@@ -4,6 +4,7 @@
 
 from nose2.tools import params
 
+from _savoryhaven import changes
 from _savoryhaven import document
 from savoryhaven_standins import fakes
 
@@ -180,16 +181,16 @@
 def test_a_change_carries_only_the_sections_that_changed() -> None:
     base = fakes.make_document(generation=1)
     changed = fakes.make_document(generation=2)
-    change = document.extract_change(changed, 1)
+    change = changes.extract_change(changed, 1)
     assert set(change.document.sections) == {'team'}
-    assert document.merge_change(base, change) == changed
+    assert changes.merge_change(base, change) == changed
 
 
 def test_a_change_on_a_lost_base_is_refused() -> None:
     changed = fakes.make_document(generation=2)
-    change = document.extract_change(changed, 1)
+    change = changes.extract_change(changed, 1)
     try:
-        document.merge_change(None, change)
+        changes.merge_change(None, change)
     except document.errors.DocumentError as exc:
         assert exc.code == 'SH209'
     else:
--- a/packages/savoryhaven/tests/test_document.py
+++ b/packages/savoryhaven/tests/test_document.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 from nose2.tools import params
 
+from _savoryhaven import checks
 from _savoryhaven import document
 from _savoryhaven import errors
 from savoryhaven_standins import fakes
@@ -60,7 +61,7 @@
 def test_a_bad_document_gets_its_code_and_place(at: int) -> None:
     text, code, place = BAD[at]
     try:
-        document.parse_document(text)
+        checks.parse_document(text)
     except errors.DocumentError as exc:
         assert exc.code == code, exc
         assert place in exc.problems[0].path, exc
@@ -73,7 +74,7 @@
     whole = json.loads(text)
     whole['hash_seed'] = -1
     try:
-        document.parse_document(json.dumps(whole))
+        checks.parse_document(json.dumps(whole))
     except errors.DocumentError as exc:
         assert len(exc.problems) == 2
     else:
@@ -82,7 +83,7 @@
 
 def test_a_good_document_survives_the_round_trip() -> None:
     whole = fakes.make_document(generation=3)
-    assert document.parse_document(document.dump_document(whole)) == whole
+    assert checks.parse_document(document.dump_document(whole)) == whole
 
 
 @hypothesis.settings(max_examples=100, derandomize=True, database=None)
@@ -109,6 +110,6 @@
     value: typing.Any,
 ) -> None:
     try:
-        document.parse_document(json.dumps(value))
+        checks.parse_document(json.dumps(value))
     except errors.DocumentError:
         pass
--- a/packages/savoryhaven/tests/test_messages.py
+++ b/packages/savoryhaven/tests/test_messages.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies
 from nose2.tools import params
 
-from _savoryhaven import document
+from _savoryhaven import changes
 from _savoryhaven import errors
 from _savoryhaven import inheritance
 from _savoryhaven import messages
@@ -20,7 +20,7 @@
 KNOWLEDGE = messages.Knowledge(3, 4, True)
 FLOW = messages.FlowRecord('team/one', b'k' * 13, '10.9.1.1:5683')
 TOMBSTONE = messages.TombstoneRecord(b'k' * 15, 2.5)
-CHANGE = document.extract_change(fakes.make_document(generation=2), 1)
+CHANGE = changes.extract_change(fakes.make_document(generation=2), 1)
 EXAMPLES = (
     messages.Relay(2, b'packet'),
     messages.Probe(1, RECORD, KNOWLEDGE, (RECORD,)),
