--- a/benchmarks/run_all.py
+++ b/benchmarks/run_all.py
@@ -8,6 +8,7 @@
     'packet_speed.py',
     'flow_memory.py',
     'steering.py',
+    'faults.py',
     'policies.py',
     'capacity.py',
 )
