Build a handover under one view, and send batches to peers at once

Cause, found by reading: a handover is built in pieces, and the view could change between two of them. Flows judged under the former view then went out under the new one's name, and the receiver derived them wrongly. The same held for the view that copies are complete for.

Also: a successor that did not answer held up the batches to all others for 2 s (found by reading; no test of ours shows it), and a packet that waited again got a new deadline.

test_a_handover_holds_under_one_view failed first, and passes now; the modules copies, recovery, partitions, configuration, flows and flows_survive pass.

--- a/packages/savoryhaven/src/_savoryhaven/copies.py
+++ b/packages/savoryhaven/src/_savoryhaven/copies.py
@@ -74,6 +74,7 @@
         self._crashed: dict[str, float] = {}
         self._foreign: set[str] = set()
         self._waiting: dict[str, list[messages.FlowRecord]] = {}
+        self._sending: dict[str, asyncio.Task[None]] = {}
         self._budget_bytes = 0.0
         self._budget_at = 0.0
         context.members.listen(self._note_event)
@@ -94,11 +95,13 @@
         if state != self._scanned_for or due:
             await self._scan_all()
             await self._push_foreign()
-            self._scanned_for = state
-            self._scanned_at = now
-            self._synced_view = state[0]
+            # A view that changed during the scan makes it start over.
+            if state[0] == context.routing.view:
+                self._scanned_for = state
+                self._scanned_at = now
+                self._synced_view = state[0]
         self._collect_due()
-        await self._send_waiting(now)
+        self._send_waiting(now)
 
     async def _scan_all(self) -> None:
         """Find all pinned flows anew; the view or the members changed."""
@@ -177,20 +180,34 @@
             record = messages.FlowRecord(service, key, address)
             self._waiting.setdefault(found.successor, []).append(record)
 
-    async def _send_waiting(self, now: float) -> None:
+    def _send_waiting(self, now: float) -> None:
+        """Start a batch to each successor that has answered the last one."""
         self._fill_budget(now)
-        for vm_id in list(self._waiting):
-            records = self._waiting[vm_id]
+        for vm_id, records in list(self._waiting.items()):
+            if vm_id in self._sending:
+                continue
             batch = records[:BATCH_RECORDS]
             size = (len(batch) + 1) * RECORD_BYTES
             if size > self._budget_bytes:
                 continue
             self._budget_bytes -= size
             complete = len(batch) == len(records)
+            self._sending[vm_id] = asyncio.create_task(
+                self._send_and_forget(vm_id, batch, complete=complete)
+            )
+
+    async def _send_and_forget(
+        self, vm_id: str, batch: list[messages.FlowRecord], *, complete: bool
+    ) -> None:
+        """Send a batch; once it is held, it waits no more."""
+        try:
             if await self._send_batch(vm_id, batch, complete=complete):
+                records = self._waiting[vm_id]
                 del records[: len(batch)]
-            if not records:
-                del self._waiting[vm_id]
+                if not records:
+                    del self._waiting[vm_id]
+        finally:
+            del self._sending[vm_id]
 
     def _fill_budget(self, now: float) -> None:
         rate = self._context.settings.limits.control_bytes_per_s
@@ -233,14 +250,14 @@
         are kept for a while as copies, in case the answer is lost.
         """
         context = self._context
-        parcel = _Parcel(receiver)
-        for service in services or context.flows.list_services():
-            keys = context.flows.list_keys(service)
-            for start in range(0, len(keys), SCAN_FLOWS):
-                for key in keys[start : start + SCAN_FLOWS]:
-                    self._move_flow(service, key, parcel)
-                await asyncio.sleep(0)
-        view = context.routing.view
+        while True:
+            view = context.routing.view
+            parcel = _Parcel(receiver)
+            await self._fill_parcel(parcel, services)
+            if view == context.routing.view:
+                break
+            # What was collected under the former view is kept as copies
+            # for the receiver, and is collected again.
         return messages.FlowCopies(
             context.vm_id,
             view.generation,
@@ -253,6 +270,17 @@
             tuple(parcel.second_hand),
         )
 
+    async def _fill_parcel(
+        self, parcel: _Parcel, services: typing.Collection[str]
+    ) -> None:
+        flows_held = self._context.flows
+        for service in services or flows_held.list_services():
+            keys = flows_held.list_keys(service)
+            for start in range(0, len(keys), SCAN_FLOWS):
+                for key in keys[start : start + SCAN_FLOWS]:
+                    self._move_flow(service, key, parcel)
+                await asyncio.sleep(0)
+
     def _move_flow(self, service: str, key: bytes, parcel: _Parcel) -> None:
         context = self._context
         table = context.routing.tables.by_name.get(service)
--- a/packages/savoryhaven/src/_savoryhaven/router.py
+++ b/packages/savoryhaven/src/_savoryhaven/router.py
@@ -82,7 +82,8 @@
         self._outlet: typing.Final = outlet
         self._succession: typing.Final = succession.Succession(context)
         self._held: collections.deque[_Held] = collections.deque()
-        self._releasing = False
+        # The deadline of the packet that is looked at again just now.
+        self._held_until: float | None = None
         # Openings whose copy is on its way, and where they are to go.
         self._offered: dict[bytes, placement.Target] = {}
 
@@ -99,13 +100,15 @@
         waiting = list(self._held)
         self._held.clear()
         now = self._context.clock.read_monotonic()
-        self._releasing = True
         for held in waiting:
             if held.until < now:
                 self._count(_Count.DROPPED_HELD)
-            else:
+                continue
+            self._held_until = held.until
+            try:
                 self._receive(held.packet, hops=held.hops)
-        self._releasing = False
+            finally:
+                self._held_until = None
 
     def reset(self) -> None:
         """Forget what waits, as this VM was taken for dead."""
@@ -166,7 +169,7 @@
         if arrival.hops >= HOPS_MAX:
             self._count(_Count.DROPPED_HOPS)
             return
-        if arrival.hops >= HOPS_AT_ONCE and not self._releasing:
+        if arrival.hops >= HOPS_AT_ONCE and self._held_until is None:
             now = self._context.clock.read_monotonic()
             self._hold(arrival, now)
             return
@@ -308,7 +311,8 @@
             self._count(_Count.DROPPED_HELD)
             return
         raw = arrival.packet.raw
-        self._held.append(_Held(raw, arrival.hops, now + HOLD_S))
+        until = self._held_until or now + HOLD_S
+        self._held.append(_Held(raw, arrival.hops, until))
         self._count(_Count.HELD)
 
     def _derive(
