--- a/benchmarks/common.py
+++ b/benchmarks/common.py
@@ -90,39 +90,55 @@
 
 
 @contextlib.contextmanager
-def run_vm(
-    network: str, document: dict[str, typing.Any], limits: dict[str, int]
-) -> typing.Iterator[subprocess.Popen]:
-    """Run one entry VM with a platform that holds a document."""
+def run_vms(
+    network: str, document: dict[str, typing.Any], names: tuple[str, ...]
+) -> typing.Iterator[list[subprocess.Popen]]:
+    """Run entry VMs with a platform that holds a document.
+
+    VM number N has the host ``NETWORK.2.N``, from 1.
+    """
     platform_address = f'{network}.0.1:8080'
-    settings = {
-        'vm_id': 'bench',
-        'failure_domain': 'a',
-        'data_address': f'{network}.2.1:6080',
-        'peer_address': f'{network}.2.1:7946',
-        'operator_address': f'{network}.2.1:8080',
-        'fabric_address': f'{network}.0.2:6080',
-        'platform': {'url': f'http://{platform_address}'},
-        'limits': limits,
-    }
-    with tempfile.TemporaryDirectory() as folder:
-        settings_path = pathlib.Path(folder) / 'settings.json'
-        settings_path.write_text(json.dumps(settings))
-        document_path = pathlib.Path(folder) / 'document.json'
-        document_path.write_text(json.dumps(document))
-        with (
+    with (
+        tempfile.TemporaryDirectory() as name,
+        contextlib.ExitStack() as stack,
+    ):
+        folder = pathlib.Path(name)
+        stack.enter_context(
             run_process(
                 *(sys.executable, '-m', 'savoryhaven_standins.platform'),
                 *('--listen', platform_address),
-            ),
-            run_process(
-                *(processes.find_binary('savoryhaven'), 'run'),
-                *('--settings', str(settings_path)),
-            ) as vm,
-        ):
-            _apply(document_path, platform_address)
-            _wait_until_serving(f'{network}.2.1', 6080)
-            yield vm
+            )
+        )
+        vms = []
+        for number, vm_id in enumerate(names, start=1):
+            path = folder / f'{vm_id}.json'
+            settings = _make_settings(network, number, vm_id)
+            path.write_text(json.dumps(settings))
+            binary = processes.find_binary('savoryhaven')
+            command = (binary, 'run', '--settings', str(path))
+            vms.append(stack.enter_context(run_process(*command)))
+        path = folder / 'document.json'
+        path.write_text(json.dumps(document))
+        _apply(path, platform_address)
+        for number in range(1, len(names) + 1):
+            _wait_until_serving(f'{network}.2.{number}', 6080)
+        yield vms
+
+
+def _make_settings(
+    network: str, number: int, vm_id: str
+) -> dict[str, typing.Any]:
+    host = f'{network}.2.{number}'
+    return {
+        'vm_id': vm_id,
+        'failure_domain': 'a',
+        'data_address': f'{host}:6080',
+        'peer_address': f'{host}:7946',
+        'operator_address': f'{host}:8080',
+        'fabric_address': f'{network}.0.2:6080',
+        'platform': {'url': f'http://{network}.0.1:8080'},
+        'seeds': [f'{network}.2.1:7946'],
+    }
 
 
 def _apply(path: pathlib.Path, platform_address: str) -> None:
--- a/benchmarks/packet_speed.py
+++ b/benchmarks/packet_speed.py
@@ -87,7 +87,7 @@
         common.run_process(
             sys.executable, __file__, '--relay', network
         ) as relay,
-        common.run_vm(network, document, {}) as vm,
+        common.run_vms(network, document, ('bench',)) as (vm,),
     ):
         time.sleep(1.0)
         targets = {
--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -185,15 +185,7 @@
             case 'leave':
                 self.leaving.add(0)
                 self.left_at['10.9.1.1:5683'] = loop.time()
-                self.cluster.platform.put_vm(
-                    fakes.platform.PlatformVm(
-                        vm_id='one-0',
-                        role='upstream',
-                        state='leaving',
-                        failure_domain='a',
-                        address='10.9.1.1:5683',
-                    )
-                )
+                self.cluster.leave_upstream('one-0', '10.9.1.1:5683')
                 return
             case 'add':
                 self.domains.append('a')
--- /dev/null
+++ b/benchmarks/relay_hop.py
@@ -0,0 +1,98 @@
+"""What the extra hop through a bucket's owner costs.
+
+Two VMs; every packet belongs to a bucket of the first one. Handed to it, a
+packet goes straight on; handed to the second, it is relayed first. In turns.
+"""
+
+import socket
+import statistics
+import time
+
+import common
+import packet_speed
+
+from _savoryhaven import document
+from _savoryhaven import flows
+from _savoryhaven import packets
+from _savoryhaven import placement
+from savoryhaven_standins import processes
+
+NAMES = ('bench-1', 'bench-2')
+ROUNDS = 5
+SINGLES = 2_000
+
+
+def find_owned(network: str, whole: dict) -> list[bytes]:
+    """Return packets of flows whose buckets the first VM owns."""
+    tables = placement.Tables(document.load_document(whole))
+    table = tables.by_name['team/one']
+    owned = []
+    for raw in packet_speed.make_raws(network):
+        key = flows.make_flow_key(packets.parse_packet(raw))
+        bucket_hash = table.hash_bucket(table.find_bucket(key))
+        if placement.rank_vms(NAMES, bucket_hash)[0] == NAMES[0]:
+            owned.append(raw)
+    return owned
+
+
+def measure_delay(
+    target: tuple[str, int], receiver: socket.socket, raws: list[bytes]
+) -> float:
+    """Return the median microseconds that one packet takes."""
+    sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    delays = []
+    for index in range(SINGLES):
+        started_at = time.perf_counter()
+        sender.sendto(raws[index % len(raws)], target)
+        receiver.recv(2048)
+        delays.append(time.perf_counter() - started_at)
+    sender.close()
+    return statistics.median(delays) * 1e6
+
+
+def main() -> list[common.Row]:
+    """Measure, and print the figures."""
+    network = processes.pick_network()
+    receiver = common.bind_udp(f'{network}.0.2', 6080)
+    whole = common.make_bench_document(network)
+    raws = find_owned(network, whole)
+    targets = {
+        'direct': (f'{network}.2.1', 6080),
+        'relayed': (f'{network}.2.2', 6080),
+    }
+    rates: dict[str, list[float]] = {name: [] for name in targets}
+    delays: dict[str, list[float]] = {name: [] for name in targets}
+    with common.run_vms(network, whole, NAMES) as vms:
+        time.sleep(2.0)
+        for target in targets.values():
+            packet_speed.measure(target, receiver, raws, vms[0].pid)
+        for _ in range(ROUNDS):
+            for name, target in targets.items():
+                rate, _ = packet_speed.measure(
+                    target, receiver, raws, vms[0].pid
+                )
+                rates[name].append(rate)
+                delays[name].append(measure_delay(target, receiver, raws))
+    receiver.close()
+    rows = []
+    for name in targets:
+        rate = statistics.median(rates[name])
+        delay = statistics.median(delays[name])
+        rows.append(
+            common.Row(name, f'{rate:,.0f} packets/s, {delay:.0f} us alone')
+        )
+    pairs = zip(rates['relayed'], rates['direct'], strict=True)
+    ratios = [relayed / direct for relayed, direct in pairs]
+    rows.append(
+        common.Row(
+            'ratio of the rates, median (min to max)',
+            f'{statistics.median(ratios):.2f} '
+            f'({min(ratios):.2f} to {max(ratios):.2f})',
+        )
+    )
+    common.show_rows('The hop through the owner', rows)
+    return rows
+
+
+if __name__ == '__main__':
+    main()
--- a/benchmarks/run_all.py
+++ b/benchmarks/run_all.py
@@ -6,6 +6,7 @@
 
 ORDER = (
     'packet_speed.py',
+    'relay_hop.py',
     'flow_memory.py',
     'steering.py',
     'faults.py',
--- a/packages/savoryhaven-standins/src/savoryhaven_standins/fakes.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/fakes.py
@@ -466,6 +466,18 @@
         await self._tasks.pop(vm_id)
         self.platform.remove_vm(vm_id)
 
+    def leave_upstream(self, vm_id: str, endpoint: str) -> None:
+        """Let the platform list an upstream of domain a as leaving."""
+        self.platform.put_vm(
+            platform.PlatformVm(
+                vm_id=vm_id,
+                role='upstream',
+                state='leaving',
+                failure_domain='a',
+                address=endpoint,
+            )
+        )
+
     async def apply(self, value: document.Document) -> None:
         """Put a document on the platform and wait until all VMs have it."""
         self.platform.store(schema.dump(value))
--- a/packages/savoryhaven/tests/test_flows_survive.py
+++ b/packages/savoryhaven/tests/test_flows_survive.py
@@ -5,7 +5,6 @@
 
 from nose2.tools import params
 
-from _savoryhaven import platform
 from savoryhaven_standins import fakes
 
 FLOWS = 200
@@ -64,15 +63,7 @@
 
 
 async def drain(cluster: fakes.Cluster) -> None:
-    cluster.platform.put_vm(
-        platform.PlatformVm(
-            vm_id='one-0',
-            role='upstream',
-            state='leaving',
-            failure_domain='a',
-            address='10.9.1.1:5683',
-        )
-    )
+    cluster.leave_upstream('one-0', '10.9.1.1:5683')
 
 
 async def platform_outage(cluster: fakes.Cluster) -> None:
--- a/packages/savoryhaven/tests/test_recovery.py
+++ b/packages/savoryhaven/tests/test_recovery.py
@@ -25,6 +25,20 @@
     await asyncio.sleep(0.3)
 
 
+async def induce(cluster: fakes.Cluster, event: str) -> None:
+    """Let something happen to the VM a1, or beside it."""
+    match event:
+        case 'crash':
+            await cluster.kill('a1')
+        case 'planned stop':
+            await cluster.stop('a1')
+        case 'join':
+            cluster.start_vm('a9', 'a')
+        case 'freeze of the network':
+            host = cluster.get_host('a1')
+            cluster.network.cut([host], cluster.list_hosts(''))
+
+
 async def start_traffic(cluster: fakes.Cluster, *, idempotent: bool) -> None:
     await cluster.apply(fakes.make_document(idempotent=idempotent))
     await asyncio.sleep(0.3)
@@ -60,16 +74,7 @@
         await asyncio.sleep(0.5)
         for number in range(FLOWS):
             cluster.send(fakes.make_request(number, fakes.ONE, 1))
-        match event:
-            case 'crash':
-                await cluster.kill('a1')
-            case 'planned stop':
-                await cluster.stop('a1')
-            case 'join':
-                cluster.start_vm('a9', 'a')
-            case 'freeze of the network':
-                host = cluster.get_host('a1')
-                cluster.network.cut([host], cluster.list_hosts(''))
+        await induce(cluster, event)
         # Four retransmissions as RFC 7252 spaces them, through any VM.
         for wait_s in (2, 4, 8, 16):
             await asyncio.sleep(wait_s)
@@ -98,13 +103,7 @@
                 await asyncio.sleep(1.1)
         refused = list_refused(cluster)
         assert len(refused) > FLOWS // 4, len(refused)
-        match event:
-            case 'crash':
-                await cluster.kill('a1')
-            case 'planned stop':
-                await cluster.stop('a1')
-            case 'join':
-                cluster.start_vm('a9', 'a')
+        await induce(cluster, event)
         await cluster.apply(
             fakes.make_document(generation=2, idempotent=False)
         )
@@ -149,15 +148,7 @@
 async def test_a_crash_while_an_upstream_leaves_keeps_the_promises() -> None:
     async with fakes.Cluster(seed=15, domains={'a': 3, 'b': 3}) as cluster:
         await start_traffic(cluster, idempotent=False)
-        cluster.platform.put_vm(
-            fakes.platform.PlatformVm(
-                vm_id='one-0',
-                role='upstream',
-                state='leaving',
-                failure_domain='a',
-                address='10.9.1.1:5683',
-            )
-        )
+        cluster.leave_upstream('one-0', '10.9.1.1:5683')
         await asyncio.sleep(2.0)
         await cluster.kill('a1')
         for mid in range(2, 8):
