--- /dev/null
+++ b/packages/savoryhaven/src/_savoryhaven/handovers.py
@@ -0,0 +1,163 @@
+"""Passes flows from owner to owner: asks for them, and hands them over."""
+
+import asyncio
+import typing
+
+from loguru import logger
+
+from _savoryhaven import configuration as configuration_module
+from _savoryhaven import context as context_module
+from _savoryhaven import copies
+from _savoryhaven import counters
+from _savoryhaven import errors
+from _savoryhaven import inheritance
+from _savoryhaven import messages
+
+RETRY_S = 0.1
+# How often a VM tries to get the document that a peer's message builds on.
+SYNC_ROUNDS = 3
+
+_Count = counters.Count
+
+
+class Handovers:
+    """Claims flows for one VM, and answers the claims of others."""
+
+    def __init__(
+        self,
+        context: context_module.Context,
+        copier: copies.Copier,
+        configuration: configuration_module.Configuration,
+        request: typing.Callable[
+            [str, messages.Message], typing.Awaitable[messages.Message]
+        ],
+        release_held: typing.Callable[[], None],
+    ) -> None:
+        self._context: typing.Final = context
+        self._copier: typing.Final = copier
+        self._configuration: typing.Final = configuration
+        self._request: typing.Final = request
+        self._release_held: typing.Final = release_held
+        self._claims: set[asyncio.Task[None]] = set()
+
+    def require_all(self) -> None:
+        """Expect the flows of buckets that are this VM's from now on."""
+        domain = self._context.settings.failure_domain
+        for member in self._context.members.list_peers():
+            self._context.inheritance.require(member.vm_id)
+            # Others are asked once a packet makes it necessary.
+            if member.record.failure_domain == domain:
+                self.request_claim(member.vm_id)
+
+    def request_claim(self, vm_id: str) -> None:
+        """Ask a former owner for its flows, unless that is under way."""
+        now = self._context.clock.read_monotonic()
+        ticket = self._context.inheritance.start_claim(vm_id, now)
+        if ticket is None:
+            return
+        task = asyncio.create_task(self._claim(vm_id, ticket))
+        self._claims.add(task)
+        task.add_done_callback(self._claims.discard)
+
+    async def _claim(self, vm_id: str, ticket: inheritance.Ticket) -> None:
+        context = self._context
+        claim = messages.Claim(
+            context.members.me, context.routing.generation, ticket.services
+        )
+        while context.inheritance.is_asked(vm_id):
+            try:
+                answer = await self._request(vm_id, claim)
+                await self._take_answer(vm_id, ticket, answer)
+            except errors.SavoryhavenError as exc:
+                # Asked again until it is given up as overdue.
+                logger.debug('{} handed nothing over: {}', vm_id, exc)
+                await asyncio.sleep(RETRY_S)
+        self._release_held()
+
+    async def _take_answer(
+        self,
+        vm_id: str,
+        ticket: inheritance.Ticket,
+        answer: messages.Message,
+    ) -> None:
+        context = self._context
+        match answer:
+            case messages.FlowCopies():
+                await self._catch_up(vm_id, answer.generation)
+                self._copier.take(answer)
+                context.inheritance.settle(vm_id, ticket)
+            case messages.Declined(generation, seen):
+                now = context.clock.read_monotonic()
+                context.members.merge(seen, now)
+                behind = generation < context.routing.generation
+                context.inheritance.decline(vm_id, now, behind=behind)
+
+    def give_up(self, vm_id: str) -> None:
+        """Go on without a former owner that does not answer."""
+        logger.warning('{} handed nothing over; going on without', vm_id)
+        now = self._context.clock.read_monotonic()
+        self._context.inheritance.give_up(vm_id, now)
+
+    async def answer_claim(
+        self, claim: messages.Claim, now: float
+    ) -> messages.FlowCopies | messages.Declined:
+        """Return what a new owner asks for, or why it has to ask again.
+
+        Raises ``SavoryhavenError`` when its document can't be fetched.
+        """
+        context = self._context
+        context.members.merge(claim.sender, now)
+        await self._catch_up(claim.sender.vm_id, claim.generation)
+        seen = context.members.get(claim.sender.vm_id)
+        behind = context.routing.generation < claim.generation
+        if behind or not seen.eligible:
+            return messages.Declined(context.routing.generation, seen.record)
+        handover = await self._copier.build_handover(
+            claim.sender.vm_id, claim.services
+        )
+        self._context.counters[_Count.HANDOVERS_SENT] += 1
+        copies.log_handover(claim.sender.vm_id, handover)
+        return handover
+
+    async def take_copies(
+        self, message: messages.FlowCopies
+    ) -> messages.Received:
+        """Take copies in, or flows that are this VM's from now on.
+
+        Raises ``SavoryhavenError`` when their document can't be fetched.
+        """
+        await self._catch_up(message.vm_id, message.generation)
+        received = self._copier.take(message)
+        if message.farewell:
+            self._context.inheritance.note_departure(message.vm_id)
+        self._release_held()
+        return received
+
+    async def _catch_up(self, vm_id: str, generation: int) -> None:
+        """Fetch the document that a peer's message builds on."""
+        for _ in range(SYNC_ROUNDS):
+            if self._context.routing.generation >= generation:
+                return
+            await self._configuration.fetch_from(vm_id)
+
+    async def hand_over_all(self) -> None:
+        """Tell every VM that may own our buckets all about them."""
+        receivers = self._context.members.list_eligible()
+        await asyncio.gather(
+            *(self._hand_over(member.vm_id) for member in receivers)
+        )
+
+    async def _hand_over(self, vm_id: str) -> None:
+        handover = await self._copier.build_handover(vm_id, farewell=True)
+        while True:
+            try:
+                await self._request(vm_id, handover)
+                break
+            except errors.PeerError as exc:
+                logger.warning('handover to {} failed: {}', vm_id, exc)
+                member = self._context.members.get(vm_id)
+                if member is None or not member.eligible:
+                    return
+                await asyncio.sleep(RETRY_S)
+        self._context.counters[_Count.HANDOVERS_SENT] += 1
+        copies.log_handover(vm_id, handover)
--- a/packages/savoryhaven/src/_savoryhaven/vm.py
+++ b/packages/savoryhaven/src/_savoryhaven/vm.py
@@ -13,8 +13,8 @@
 from _savoryhaven import counters
 from _savoryhaven import detector
 from _savoryhaven import errors
+from _savoryhaven import handovers
 from _savoryhaven import hooks
-from _savoryhaven import inheritance as inheritance_module
 from _savoryhaven import membership
 from _savoryhaven import messages
 from _savoryhaven import offers
@@ -32,7 +32,6 @@
 LOAD_INTERVAL_S = 1.0
 LOAD_PEERS = 16
 LOADS_PER_DATAGRAM = 100
-SYNC_ROUNDS = 3
 
 # A task that failed unexpectedly is started again after so long.
 RESTART_S = 1.0
@@ -66,7 +65,6 @@
         self._fabric = addresses.parse_address(settings.fabric_address)
         self._data_socket: hooks.DatagramSocket | None = None
         self._stopping = asyncio.Event()
-        self._claims: set[asyncio.Task[None]] = set()
         self._peers = peers_module.Peers(
             context, transport, self._receive_datagram, self._handle
         )
@@ -80,6 +78,13 @@
             self._peers.request,
             self._meet,
         )
+        self._handovers = handovers.Handovers(
+            context,
+            self._copier,
+            self.configuration,
+            self._peers.request,
+            self._router.release_held,
+        )
         self._detector = detector.Detector(
             context, self._peers.send, self.configuration.note_knowledge
         )
@@ -119,7 +124,7 @@
         """Decide about packets from now on."""
         self.context.standing.restart(self.context.clock.read_monotonic())
         self.context.serving = True
-        self._require_all()
+        self._handovers.require_all()
         self._router.release_held()
 
     async def _serve(self) -> None:
@@ -194,15 +199,6 @@
             logger.debug('joining without the platform: {}', exc)
         return self.context.routing.tables is not None
 
-    def _require_all(self) -> None:
-        """Expect the flows of buckets that are this VM's from now on."""
-        domain = self.settings.failure_domain
-        for member in self.context.members.list_peers():
-            self.context.inheritance.require(member.vm_id)
-            # Others are asked once a packet makes it necessary.
-            if member.record.failure_domain == domain:
-                self.request_claim(member.vm_id)
-
     async def _stop(self) -> None:
         """Hand everything over, pass late packets on, and go."""
         context = self.context
@@ -211,7 +207,8 @@
         context.members.leave(now)
         try:
             async with asyncio.timeout(self.settings.stop.timeout_s):
-                await self._hand_over_all()
+                self._tell_peers()
+                await self._handovers.hand_over_all()
                 await asyncio.sleep(self.settings.stop.linger_s)
         except TimeoutError:
             logger.error('SH405: the planned stop took too long; leaving now')
@@ -223,28 +220,6 @@
         for member in self.context.members.list_peers():
             self._detector.send_probe(member.vm_id)
 
-    async def _hand_over_all(self) -> None:
-        self._tell_peers()
-        receivers = self.context.members.list_eligible()
-        await asyncio.gather(
-            *(self._hand_over(member.vm_id) for member in receivers)
-        )
-
-    async def _hand_over(self, vm_id: str) -> None:
-        handover = await self._copier.build_handover(vm_id, farewell=True)
-        while True:
-            try:
-                await self._peers.request(vm_id, handover)
-                break
-            except errors.PeerError as exc:
-                logger.warning('handover to {} failed: {}', vm_id, exc)
-                member = self.context.members.get(vm_id)
-                if member is None or not member.eligible:
-                    return
-                await asyncio.sleep(JOIN_RETRY_S)
-        self.context.counters[_Count.HANDOVERS_SENT] += 1
-        copies.log_handover(vm_id, handover)
-
     def _receive_datagram(self, message: messages.Message) -> None:
         match message:
             case messages.Relay():
@@ -283,49 +258,15 @@
                     self.context.members.merge(sender, now)
                 return self.configuration.answer_fetch(message)
             case messages.Claim(sender):
-                return await self._answer_claim(message, now)
+                return await self._handovers.answer_claim(message, now)
             case messages.FlowCopies():
-                return await self._take_copies(message)
+                return await self._handovers.take_copies(message)
         raise errors.PeerError(
             errors.Problem(
                 code='SH401', message=f'{type(message).__name__} unexpected'
             )
         )
 
-    async def _answer_claim(
-        self, claim: messages.Claim, now: float
-    ) -> messages.FlowCopies | messages.Declined:
-        context = self.context
-        context.members.merge(claim.sender, now)
-        await self._catch_up(claim.sender.vm_id, claim.generation)
-        seen = context.members.get(claim.sender.vm_id)
-        behind = context.routing.generation < claim.generation
-        if behind or not seen.eligible:
-            return messages.Declined(context.routing.generation, seen.record)
-        handover = await self._copier.build_handover(
-            claim.sender.vm_id, claim.services
-        )
-        self.context.counters[_Count.HANDOVERS_SENT] += 1
-        copies.log_handover(claim.sender.vm_id, handover)
-        return handover
-
-    async def _take_copies(
-        self, message: messages.FlowCopies
-    ) -> messages.Received:
-        await self._catch_up(message.vm_id, message.generation)
-        received = self._copier.take(message)
-        if message.farewell:
-            self.context.inheritance.note_departure(message.vm_id)
-        self._router.release_held()
-        return received
-
-    async def _catch_up(self, vm_id: str, generation: int) -> None:
-        """Fetch the document that a peer's message builds on."""
-        for _ in range(SYNC_ROUNDS):
-            if self.context.routing.generation >= generation:
-                return
-            await self.configuration.fetch_from(vm_id)
-
     async def _send_copies(
         self, vm_id: str, message: messages.FlowCopies
     ) -> messages.Received:
@@ -349,55 +290,8 @@
         return self._offers.offer(vm_id, record, then)
 
     def request_claim(self, vm_id: str) -> None:
-        """Ask a former owner for its flows, unless that is under way."""
-        now = self.context.clock.read_monotonic()
-        ticket = self.context.inheritance.start_claim(vm_id, now)
-        if ticket is None:
-            return
-        task = asyncio.create_task(self._claim(vm_id, ticket))
-        self._claims.add(task)
-        task.add_done_callback(self._claims.discard)
-
-    async def _claim(
-        self, vm_id: str, ticket: inheritance_module.Ticket
-    ) -> None:
-        context = self.context
-        claim = messages.Claim(
-            context.members.me, context.routing.generation, ticket.services
-        )
-        while context.inheritance.is_asked(vm_id):
-            try:
-                answer = await self._peers.request(vm_id, claim)
-                await self._take_answer(vm_id, ticket, answer)
-            except errors.SavoryhavenError as exc:
-                # Asked again until it is given up as overdue.
-                logger.debug('{} handed nothing over: {}', vm_id, exc)
-                await asyncio.sleep(JOIN_RETRY_S)
-        self._router.release_held()
-
-    async def _take_answer(
-        self,
-        vm_id: str,
-        ticket: inheritance_module.Ticket,
-        answer: messages.Message,
-    ) -> None:
-        context = self.context
-        match answer:
-            case messages.FlowCopies():
-                await self._catch_up(vm_id, answer.generation)
-                self._copier.take(answer)
-                context.inheritance.settle(vm_id, ticket)
-            case messages.Declined(generation, seen):
-                now = context.clock.read_monotonic()
-                context.members.merge(seen, now)
-                behind = generation < context.routing.generation
-                context.inheritance.decline(vm_id, now, behind=behind)
-
-    def _give_up(self, vm_id: str) -> None:
-        """Go on without a former owner that does not answer."""
-        logger.warning('{} handed nothing over; going on without', vm_id)
-        now = self.context.clock.read_monotonic()
-        self.context.inheritance.give_up(vm_id, now)
+        """Ask a former owner for its flows."""
+        self._handovers.request_claim(vm_id)
 
     def _note_event(self, event: membership.Event, now: float) -> None:
         context = self.context
@@ -416,7 +310,7 @@
                 if record.state is messages.MemberState.LEAVING:
                     context.inheritance.require(record.vm_id)
                 elif not context.inheritance.is_confirmed(record.vm_id):
-                    self._give_up(record.vm_id)
+                    self._handovers.give_up(record.vm_id)
             case membership.DeclaredDead():
                 self._answer_death(now)
             case membership.Superseded():
@@ -439,7 +333,7 @@
         self._router.reset()
         self._offers.reset()
         context.members.rejoin(context.clock.read_epoch_ms(), now)
-        self._require_all()
+        self._handovers.require_all()
 
     async def _run_sweeps(self) -> None:
         """Expire flows and refusals, a piece at a time."""
@@ -475,7 +369,7 @@
             now = context.clock.read_monotonic()
             overdue = context.inheritance.list_overdue(now)
             for vm_id in overdue:
-                self._give_up(vm_id)
+                self._handovers.give_up(vm_id)
             self._router.release_held()
 
     async def _run_loads(self) -> None:
