Call former owners what they are

inheritance, succession, farewell and parcel were words of our own. Modules are former_owners and predecessors now, the last handover is final, a handover under construction is a draft. No behaviour changed; copies, messages, recovery and vm pass, formatter and linter are clean.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -22,7 +22,7 @@
 from _savoryhaven import counters
 from _savoryhaven import document
 from _savoryhaven import flows
-from _savoryhaven import inheritance
+from _savoryhaven import former_owners
 from _savoryhaven import membership
 from _savoryhaven import messages
 from _savoryhaven import ownership
@@ -212,7 +212,7 @@
     source = random.Random(1)
     keys = [source.randbytes(flows.FLOW_KEY_BYTES) for _ in range(count)]
     started_at = time.process_time()
-    data = inheritance.build_filter(keys)
+    data = former_owners.build_filter(keys)
     return len(data), time.process_time() - started_at
 
 
--- a/benchmarks/handover.py
+++ b/benchmarks/handover.py
@@ -35,7 +35,7 @@
         size = 0
         started_at = time.process_time()
         receivers = [m.vm_id for m in context.members.list_eligible()]
-        built = await copier.build_handovers(receivers, farewell=True)
+        built = await copier.build_handovers(receivers, final=True)
         for handover in built.values():
             size += len(messages.encode_message(handover))
         return time.process_time() - started_at, size
--- a/packages/savoryhaven/src/_savoryhaven/configuration.py
+++ b/packages/savoryhaven/src/_savoryhaven/configuration.py
@@ -225,7 +225,7 @@
         """Expect flows of buckets that the new table moved here."""
         context = self._context
         for member in context.members.list_peers():
-            context.inheritance.require(member.vm_id, service)
+            context.former_owners.require(member.vm_id, service)
 
     async def _read_list(self) -> None:
         interval_s = self._context.settings.platform.list_interval_s
--- a/packages/savoryhaven/src/_savoryhaven/context.py
+++ b/packages/savoryhaven/src/_savoryhaven/context.py
@@ -8,8 +8,8 @@
 from _savoryhaven import admission as admission_module
 from _savoryhaven import counters as counters_module
 from _savoryhaven import flows as flows_module
+from _savoryhaven import former_owners as former_owners_module
 from _savoryhaven import hooks
-from _savoryhaven import inheritance as inheritance_module
 from _savoryhaven import loads as loads_module
 from _savoryhaven import membership as membership_module
 from _savoryhaven import messages
@@ -32,7 +32,7 @@
     routing: routing_module.Routing
     flows: flows_module.FlowTable
     tombstones: flows_module.Tombstones
-    inheritance: inheritance_module.Inheritance
+    former_owners: former_owners_module.FormerOwners
     loads: loads_module.Loads
     admission: admission_module.Admission
     counters: counters_module.Counters
@@ -119,7 +119,7 @@
         routing=routing,
         flows=flows_module.FlowTable(settings.limits.flows),
         tombstones=flows_module.Tombstones(settings.limits.tombstones),
-        inheritance=inheritance_module.Inheritance(longest_s),
+        former_owners=former_owners_module.FormerOwners(longest_s),
         loads=loads,
         admission=admission_module.Admission(routing, members, loads),
         counters=counters_module.Counters(),
--- a/packages/savoryhaven/src/_savoryhaven/copies.py
+++ b/packages/savoryhaven/src/_savoryhaven/copies.py
@@ -16,7 +16,7 @@
 from _savoryhaven import counters
 from _savoryhaven import errors
 from _savoryhaven import flows
-from _savoryhaven import inheritance
+from _savoryhaven import former_owners
 from _savoryhaven import membership
 from _savoryhaven import messages
 from _savoryhaven import placement
@@ -48,7 +48,7 @@
 
 
 @attrs.define
-class _Parcel:
+class _Draft:
     """What is collected for one handover."""
 
     receiver: str
@@ -253,51 +253,51 @@
         receivers: typing.Collection[str],
         services: typing.Collection[str] = (),
         *,
-        farewell: bool = False,
+        final: bool = False,
     ) -> dict[str, messages.FlowCopies]:
         """Return the handovers to several VMs, from one pass over all."""
         context = self._context
         while True:
             view = context.routing.view
-            parcels = {vm_id: _Parcel(vm_id) for vm_id in receivers}
-            await self._fill_parcels(parcels, services)
+            drafts = {vm_id: _Draft(vm_id) for vm_id in receivers}
+            await self._fill_drafts(drafts, services)
             if view == context.routing.view:
                 break
             # What was collected under the former view is kept as copies
             # for its receivers, and is collected again.
         return {
-            vm_id: self._seal_parcel(parcel, view, farewell=farewell)
-            for vm_id, parcel in parcels.items()
+            vm_id: self._finish_draft(draft, view, final=final)
+            for vm_id, draft in drafts.items()
         }
 
-    def _seal_parcel(
-        self, parcel: _Parcel, view: placement.View, *, farewell: bool
+    def _finish_draft(
+        self, draft: _Draft, view: placement.View, *, final: bool
     ) -> messages.FlowCopies:
         return messages.FlowCopies(
             self._context.vm_id,
             view.generation,
             tuple(sorted(view.leaving)),
             True,
-            tuple(parcel.records),
-            tuple(self._list_tombstones(parcel.receiver)),
-            tuple(self._list_filters(parcel, view)),
-            farewell,
-            tuple(parcel.second_hand),
+            tuple(draft.records),
+            tuple(self._list_tombstones(draft.receiver)),
+            tuple(self._list_filters(draft, view)),
+            final,
+            tuple(draft.second_hand),
         )
 
-    async def _fill_parcels(
-        self, parcels: dict[str, _Parcel], services: typing.Collection[str]
+    async def _fill_drafts(
+        self, drafts: dict[str, _Draft], services: typing.Collection[str]
     ) -> None:
         flows_held = self._context.flows
         for service in services or flows_held.list_services():
             keys = flows_held.list_keys(service)
             for start in range(0, len(keys), SCAN_FLOWS):
                 for key in keys[start : start + SCAN_FLOWS]:
-                    self._move_flow(service, key, parcels)
+                    self._move_flow(service, key, drafts)
                 await asyncio.sleep(0)
 
     def _move_flow(
-        self, service: str, key: bytes, parcels: dict[str, _Parcel]
+        self, service: str, key: bytes, drafts: dict[str, _Draft]
     ) -> None:
         context = self._context
         table = context.routing.tables.by_name.get(service)
@@ -305,21 +305,21 @@
         if table is None or flow is None:
             return
         bucket = table.find_bucket(key)
-        parcel = parcels.get(context.owners.find(table, bucket).owner)
-        if parcel is None:
+        draft = drafts.get(context.owners.find(table, bucket).owner)
+        if draft is None:
             return
         derived = table.derive_target(bucket, context.routing.view.leaving)
         if derived is not None and derived.address == flow.target.address:
-            parcel.add_derived(key, context.get_idle_timeout(service, False))
+            draft.add_derived(key, context.get_idle_timeout(service, False))
         else:
             address = flow.target.endpoint
             record = messages.FlowRecord(service, key, address)
-            if self._is_first_hand(flow, parcel.receiver):
-                parcel.records.append(record)
+            if self._is_first_hand(flow, draft.receiver):
+                draft.records.append(record)
             else:
-                parcel.second_hand.append(record)
-        if self._is_first_hand(flow, parcel.receiver):
-            self._keep_as_copy(service, flow, parcel.receiver)
+                draft.second_hand.append(record)
+        if self._is_first_hand(flow, draft.receiver):
+            self._keep_as_copy(service, flow, draft.receiver)
 
     def _keep_as_copy(
         self, service: str, flow: flows.Flow, receiver: str
@@ -357,23 +357,23 @@
 
     def _list_filters(
         self,
-        parcel: _Parcel,
+        draft: _Draft,
         view: placement.View,
     ) -> typing.Iterator[messages.FilterRecord]:
         now = self._context.clock.read_monotonic()
-        receiver = parcel.receiver
-        for group in parcel.groups.values():
+        receiver = draft.receiver
+        for group in draft.groups.values():
             yield _make_filter_record(
-                inheritance.build_filter(group.keys),
+                former_owners.build_filter(group.keys),
                 view,
                 group.idle_timeout_s,
             )
-        for held in self._context.inheritance.list_filters(now):
+        for held in self._context.former_owners.list_filters(now):
             yield _make_filter_record(held.data, held.view, held.until - now)
         crashed_at = self._crashed.get(receiver)
         longest = self.get_longest_timeout()
         if crashed_at is not None and now - crashed_at < longest:
-            known = self._context.inheritance.get_copies_view(receiver)
+            known = self._context.former_owners.get_copies_view(receiver)
             yield _make_filter_record(
                 b'', known or view, crashed_at + longest - now
             )
@@ -404,7 +404,7 @@
             until = now + record.remaining_s
             context.tombstones.add(record.key, until, now)
         for record in copies.filters:
-            context.inheritance.add_filter(
+            context.former_owners.add_filter(
                 record.data,
                 placement.View(
                     generation=record.generation,
@@ -426,7 +426,7 @@
                 generation=copies.generation,
                 leaving=frozenset(copies.leaving),
             )
-            context.inheritance.note_copies(copies.vm_id, view)
+            context.former_owners.note_copies(copies.vm_id, view)
 
     def take_offer(self, offer: messages.CopyOffer) -> messages.CopyAck:
         """Take urgent copies in."""
--- a/packages/savoryhaven/src/_savoryhaven/inheritance.py
+++ b/packages/savoryhaven/src/_savoryhaven/former_owners.py
@@ -56,7 +56,7 @@
 
 
 @attrs.frozen
-class Past:
+class FormerPlacement:
     """The view by which a former owner placed a flow, if it did.
 
     ``told`` says that it told so; otherwise it crashed, and the flow may as
@@ -68,7 +68,7 @@
 
 
 @attrs.frozen
-class InheritedFilter:
+class HandoverFilter:
     """Flows that a former owner left where its view derives them.
 
     Without data it stands for every flow: the former owner crashed.
@@ -110,14 +110,14 @@
     handed_over: bool = False
 
 
-class Inheritance:
+class FormerOwners:
     """Handovers, copies and filters by the peer that they came from."""
 
     def __init__(self, longest_s: float) -> None:
         # After so long any flow counts as ended.
         self._longest_s: typing.Final = longest_s
         self._peers: dict[str, _Peer] = {}
-        self._filters: list[InheritedFilter] = []
+        self._filters: list[HandoverFilter] = []
 
     def require(self, vm_id: str, service: str | None = None) -> None:
         """Note that a peer may have owned buckets that are ours now.
@@ -241,19 +241,19 @@
                 self._filters[at] = attrs.evolve(held, until=longest)
                 return
         bloom = _load_filter(data) if data else None
-        self._filters.append(InheritedFilter(data, view, until, bloom))
+        self._filters.append(HandoverFilter(data, view, until, bloom))
         if len(self._filters) > FILTERS_KEPT:
             self._filters.sort(key=lambda held: held.until)
             del self._filters[0]
 
-    def list_filters(self, now: float) -> list[InheritedFilter]:
+    def list_filters(self, now: float) -> list[HandoverFilter]:
         """Return the filters that still matter, to be handed on."""
         self._filters = [held for held in self._filters if held.until > now]
         return list(self._filters)
 
-    def find_past(
+    def find_former_placement(
         self, key: bytes, window_s: float, now: float
-    ) -> Past | None:
+    ) -> FormerPlacement | None:
         """Return the view under which a flow was derived, if it was.
 
         A crash counts for ``window_s`` only, what was told until it ends.
@@ -263,7 +263,7 @@
                 continue
             age_s = self._longest_s - (held.until - now)
             if held.bloom is not None or age_s < window_s:
-                return Past(held.view, told=held.bloom is not None)
+                return FormerPlacement(held.view, told=held.bloom is not None)
         return None
 
     def note_copies(self, vm_id: str, view: placement.View) -> None:
--- a/packages/savoryhaven/src/_savoryhaven/handovers.py
+++ b/packages/savoryhaven/src/_savoryhaven/handovers.py
@@ -10,7 +10,7 @@
 from _savoryhaven import copies
 from _savoryhaven import counters
 from _savoryhaven import errors
-from _savoryhaven import inheritance
+from _savoryhaven import former_owners
 from _savoryhaven import messages
 
 RETRY_S = 0.1
@@ -44,7 +44,7 @@
         """Expect the flows of buckets that are this VM's from now on."""
         domain = self._context.settings.failure_domain
         for member in self._context.members.list_peers():
-            self._context.inheritance.require(member.vm_id)
+            self._context.former_owners.require(member.vm_id)
             # Others are asked once a packet makes it necessary.
             if member.record.failure_domain == domain:
                 self.request_claim(member.vm_id)
@@ -52,19 +52,19 @@
     def request_claim(self, vm_id: str) -> None:
         """Ask a former owner for its flows, unless that is under way."""
         now = self._context.clock.read_monotonic()
-        ticket = self._context.inheritance.start_claim(vm_id, now)
+        ticket = self._context.former_owners.start_claim(vm_id, now)
         if ticket is None:
             return
         task = asyncio.create_task(self._claim(vm_id, ticket))
         self._claims.add(task)
         task.add_done_callback(self._claims.discard)
 
-    async def _claim(self, vm_id: str, ticket: inheritance.Ticket) -> None:
+    async def _claim(self, vm_id: str, ticket: former_owners.Ticket) -> None:
         context = self._context
         claim = messages.Claim(
             context.members.me, context.routing.generation, ticket.services
         )
-        while context.inheritance.is_asked(vm_id):
+        while context.former_owners.is_asked(vm_id):
             try:
                 answer = await self._request(vm_id, claim)
                 await self._take_answer(vm_id, ticket, answer)
@@ -77,7 +77,7 @@
     async def _take_answer(
         self,
         vm_id: str,
-        ticket: inheritance.Ticket,
+        ticket: former_owners.Ticket,
         answer: messages.Message,
     ) -> None:
         context = self._context
@@ -85,18 +85,18 @@
             case messages.FlowCopies():
                 await self._catch_up(vm_id, answer.generation)
                 self._copier.take(answer)
-                context.inheritance.settle(vm_id, ticket)
+                context.former_owners.settle(vm_id, ticket)
             case messages.Declined(generation, seen):
                 now = context.clock.read_monotonic()
                 context.members.merge(seen, now)
                 behind = generation < context.routing.generation
-                context.inheritance.decline(vm_id, now, behind=behind)
+                context.former_owners.decline(vm_id, now, behind=behind)
 
     def give_up(self, vm_id: str) -> None:
         """Go on without a former owner that does not answer."""
         logger.warning('{} handed nothing over; going on without', vm_id)
         now = self._context.clock.read_monotonic()
-        self._context.inheritance.give_up(vm_id, now)
+        self._context.former_owners.give_up(vm_id, now)
 
     async def answer_claim(
         self, claim: messages.Claim, now: float
@@ -128,8 +128,8 @@
         """
         await self._catch_up(message.vm_id, message.generation)
         received = self._copier.take(message)
-        if message.farewell:
-            self._context.inheritance.note_departure(message.vm_id)
+        if message.final:
+            self._context.former_owners.note_departure(message.vm_id)
         self._release_held()
         return received
 
@@ -143,7 +143,7 @@
     async def hand_over_all(self) -> None:
         """Tell every VM that may own our buckets all about them."""
         receivers = [m.vm_id for m in self._context.members.list_eligible()]
-        built = await self._copier.build_handovers(receivers, farewell=True)
+        built = await self._copier.build_handovers(receivers, final=True)
         await asyncio.gather(
             *(
                 self._hand_over(vm_id, handover)
--- a/packages/savoryhaven/src/_savoryhaven/messages.py
+++ b/packages/savoryhaven/src/_savoryhaven/messages.py
@@ -199,7 +199,7 @@
     ``generation`` and ``leaving`` are the view that the sender derives
     placements from. ``handover`` says that the receiver now decides about
     these flows; otherwise they are copies in case the sender dies.
-    ``farewell`` says that the sender is leaving and has told everything.
+    ``final`` says that the sender is leaving and has told everything.
     A flow without an upstream has ended. ``second_hand`` are flows that the
     sender had from, or gave to, another VM that is still there: the word of
     that VM counts more.
@@ -212,7 +212,7 @@
     flows: tuple[FlowRecord, ...]
     tombstones: tuple[TombstoneRecord, ...]
     filters: tuple[FilterRecord, ...] = ()
-    farewell: bool = False
+    final: bool = False
     second_hand: tuple[FlowRecord, ...] = ()
 
 
--- a/packages/savoryhaven/src/_savoryhaven/succession.py
+++ b/packages/savoryhaven/src/_savoryhaven/predecessors.py
@@ -5,8 +5,8 @@
 import attrs
 
 from _savoryhaven import context as context_module
+from _savoryhaven import former_owners
 from _savoryhaven import hooks
-from _savoryhaven import inheritance
 from _savoryhaven import ownership
 from _savoryhaven import packets
 from _savoryhaven import placement
@@ -25,7 +25,7 @@
     protocol: hooks.FlowProtocol
 
 
-class Succession:
+class Predecessors:
     """Answers the router's questions about former owners."""
 
     def __init__(self, context: context_module.Context) -> None:
@@ -57,40 +57,42 @@
         owner = self._context.owners.find(previous, bucket).owner
         if owner in (None, self._context.vm_id):
             return None
-        known = self._context.inheritance
+        known = self._context.former_owners
         return owner if known.is_behind(owner) else None
 
-    def find_past(
+    def find_former_placement(
         self, arrival: Arrival, window_s: float, now: float
-    ) -> inheritance.Past | None:
+    ) -> former_owners.FormerPlacement | None:
         """Return how a former owner may have placed the flow.
 
         None if the flow is surely unknown to all former owners.
         """
         context = self._context
-        past = context.inheritance.find_past(arrival.key, window_s, now)
+        past = context.former_owners.find_former_placement(
+            arrival.key, window_s, now
+        )
         if past is not None:
             return past
         for vm_id in arrival.ownership.departed:
             member = context.members.get(vm_id)
             if member is None or now - member.changed_at > window_s:
                 continue
-            if not context.inheritance.has_departed_well(vm_id):
-                copies_view = context.inheritance.get_copies_view(vm_id)
+            if not context.former_owners.has_departed_well(vm_id):
+                copies_view = context.former_owners.get_copies_view(vm_id)
                 view = copies_view or context.routing.view
-                return inheritance.Past(view, told=False)
-        return self._find_silent_past(arrival, window_s, now)
+                return former_owners.FormerPlacement(view, told=False)
+        return self._find_silent_placement(arrival, window_s, now)
 
-    def _find_silent_past(
+    def _find_silent_placement(
         self, arrival: Arrival, window_s: float, now: float
-    ) -> inheritance.Past | None:
+    ) -> former_owners.FormerPlacement | None:
         """Do the same for live VMs that did not answer a claim."""
         context = self._context
-        for vm_id in context.inheritance.list_silent(now, window_s):
+        for vm_id in context.former_owners.list_silent(now, window_s):
             if self._may_have_owned(arrival, vm_id):
-                copies_view = context.inheritance.get_copies_view(vm_id)
+                copies_view = context.former_owners.get_copies_view(vm_id)
                 view = copies_view or context.routing.view
-                return inheritance.Past(view, told=False)
+                return former_owners.FormerPlacement(view, told=False)
         return None
 
     def _may_have_owned(self, arrival: Arrival, vm_id: str) -> bool:
--- a/packages/savoryhaven/src/_savoryhaven/router.py
+++ b/packages/savoryhaven/src/_savoryhaven/router.py
@@ -14,11 +14,11 @@
 from _savoryhaven import context as context_module
 from _savoryhaven import counters
 from _savoryhaven import flows
-from _savoryhaven import inheritance
+from _savoryhaven import former_owners
 from _savoryhaven import messages
 from _savoryhaven import packets
 from _savoryhaven import placement
-from _savoryhaven import succession
+from _savoryhaven import predecessors
 
 # VMs whose views differ for a moment pass a packet to and fro. After a few
 # hops it waits before each further one, and after many it is dropped.
@@ -80,7 +80,7 @@
         self._context: typing.Final = context
         self._vm_id: typing.Final = context.vm_id
         self._outlet: typing.Final = outlet
-        self._succession: typing.Final = succession.Succession(context)
+        self._predecessors: typing.Final = predecessors.Predecessors(context)
         self._held: collections.deque[_Held] = collections.deque()
         # The deadline of the packet that is looked at again just now.
         self._held_until: float | None = None
@@ -155,7 +155,7 @@
         bucket = table.find_bucket(key)
         found = context.owners.find(table, bucket)
         protocol = context.protocols[table.service.protocol]
-        arrival = succession.Arrival(
+        arrival = predecessors.Arrival(
             packet, table, bucket, key, hops, found, protocol
         )
         if found.owner == self._vm_id:
@@ -165,7 +165,7 @@
         else:
             self._relay(arrival, found.owner)
 
-    def _relay(self, arrival: succession.Arrival, owner: str) -> None:
+    def _relay(self, arrival: predecessors.Arrival, owner: str) -> None:
         if arrival.hops >= HOPS_MAX:
             self._count(_Count.DROPPED_HOPS)
             return
@@ -177,7 +177,7 @@
         self._outlet.send_relay(owner, relay)
         self._count(_Count.RELAYED)
 
-    def _decide(self, arrival: succession.Arrival) -> None:
+    def _decide(self, arrival: predecessors.Arrival) -> None:
         context = self._context
         now = context.clock.read_monotonic()
         if not context.serving:
@@ -195,7 +195,7 @@
         self._decide_unknown(arrival, now)
 
     def _continue_flow(
-        self, arrival: succession.Arrival, flow: flows.Flow, now: float
+        self, arrival: predecessors.Arrival, flow: flows.Flow, now: float
     ) -> None:
         flow.seen_at = now
         if flow.copied_from:
@@ -209,13 +209,13 @@
             self._count(_Count.CLOSED)
         self._send(arrival, flow.target)
 
-    def _drop_flow(self, arrival: succession.Arrival) -> None:
+    def _drop_flow(self, arrival: predecessors.Arrival) -> None:
         flow = self._context.flows.remove(arrival.table.name, arrival.key)
         if flow is not None:
             self._context.count_out(flow)
 
     def _send(
-        self, arrival: succession.Arrival, target: placement.Target
+        self, arrival: predecessors.Arrival, target: placement.Target
     ) -> None:
         raw = packets.replace_destination(
             arrival.packet, target.host, target.address.port
@@ -223,7 +223,9 @@
         self._outlet.send_to_fabric(raw)
         self._count(_Count.FORWARDED)
 
-    def _decide_unknown(self, arrival: succession.Arrival, now: float) -> None:
+    def _decide_unknown(
+        self, arrival: predecessors.Arrival, now: float
+    ) -> None:
         if self._await_handover(arrival, now):
             return
         offered = self._offered.get(arrival.key)
@@ -235,18 +237,22 @@
             self._decide_opening(arrival, now)
         else:
             window = arrival.protocol.idle_timeout_s
-            past = self._succession.find_past(arrival, window, now)
+            past = self._predecessors.find_former_placement(
+                arrival, window, now
+            )
             view = past.view if past else self._context.routing.view
             self._derive(arrival, role, view, now)
 
-    def _decide_opening(self, arrival: succession.Arrival, now: float) -> None:
+    def _decide_opening(
+        self, arrival: predecessors.Arrival, now: float
+    ) -> None:
         context = self._context
         identity = arrival.protocol.identify_opening(arrival.packet)
         if context.tombstones.has(identity, now):
             self._send_refusal(arrival)
             return
         window = arrival.protocol.copy_window_s
-        past = self._succession.find_past(arrival, window, now)
+        past = self._predecessors.find_former_placement(arrival, window, now)
         if past is not None and not self._is_free_to_move(arrival, past):
             self._derive(arrival, flows.Role.OPENING, past.view, now)
         elif self._may_open(arrival, now):
@@ -254,7 +260,7 @@
         else:
             self._count(_Count.DROPPED_DOUBT)
 
-    def _may_open(self, arrival: succession.Arrival, now: float) -> bool:
+    def _may_open(self, arrival: predecessors.Arrival, now: float) -> bool:
         """Return whether this VM may decide about new flows just now."""
         if arrival.table.service.idempotent:
             return True
@@ -263,7 +269,9 @@
         return context.standing.is_certain(now, has_peers=has_peers)
 
     def _is_free_to_move(
-        self, arrival: succession.Arrival, past: inheritance.Past
+        self,
+        arrival: predecessors.Arrival,
+        past: former_owners.FormerPlacement,
     ) -> bool:
         """Return whether an opening packet of unknown past may go elsewhere.
 
@@ -273,7 +281,7 @@
         """
         if past.told or not arrival.table.service.idempotent:
             return False
-        target = self._succession.find_derived(arrival, past.view)
+        target = self._predecessors.find_derived(arrival, past.view)
         if target is None or self._is_leaving(target):
             return True
         members = self._context.members
@@ -283,20 +291,22 @@
         leaving = self._context.routing.view.leaving
         return target.draining or target.endpoint in leaving
 
-    def _await_handover(self, arrival: succession.Arrival, now: float) -> bool:
+    def _await_handover(
+        self, arrival: predecessors.Arrival, now: float
+    ) -> bool:
         """Hold the packet if a former owner hasn't told its flows yet."""
-        known = self._context.inheritance
+        known = self._context.former_owners
         if not known.has_unsettled():
             return False
         name = arrival.table.name
-        stale = self._succession.find_stale_owner(arrival)
+        stale = self._predecessors.find_stale_owner(arrival)
         if stale is not None:
             self._outlet.request_claim(stale)
             self._relay(arrival, stale)
             return True
         unsettled = [
             vm_id
-            for vm_id in self._succession.list_former_owners(arrival.table)
+            for vm_id in self._predecessors.list_former_owners(arrival.table)
             if not known.is_settled(vm_id, name)
         ]
         for vm_id in unsettled:
@@ -305,7 +315,7 @@
             self._hold(arrival, now)
         return bool(unsettled)
 
-    def _hold(self, arrival: succession.Arrival, now: float) -> None:
+    def _hold(self, arrival: predecessors.Arrival, now: float) -> None:
         limit = self._context.settings.limits.held_packets
         if len(self._held) >= limit:
             self._count(_Count.DROPPED_HELD)
@@ -317,13 +327,13 @@
 
     def _derive(
         self,
-        arrival: succession.Arrival,
+        arrival: predecessors.Arrival,
         role: flows.Role,
         view: placement.View,
         now: float,
     ) -> None:
         """Send a packet where its flow must stand if it is open already."""
-        target = self._succession.find_derived(arrival, view)
+        target = self._predecessors.find_derived(arrival, view)
         if target is None:
             self._count(_Count.DROPPED_NO_UPSTREAM)
             return
@@ -333,7 +343,10 @@
         self._send(arrival, target)
 
     def _record(
-        self, arrival: succession.Arrival, target: placement.Target, now: float
+        self,
+        arrival: predecessors.Arrival,
+        target: placement.Target,
+        now: float,
     ) -> None:
         """Track a flow. Past the bound it is derived again each time."""
         context = self._context
@@ -347,7 +360,7 @@
             context.pins_due.append((arrival.table.name, arrival.key))
 
     def _find_default(
-        self, arrival: succession.Arrival
+        self, arrival: predecessors.Arrival
     ) -> placement.Target | None:
         """Return where this VM's own view places the flow."""
         return arrival.table.derive_target(
@@ -355,7 +368,7 @@
         )
 
     def _admit(
-        self, arrival: succession.Arrival, identity: bytes, now: float
+        self, arrival: predecessors.Arrival, identity: bytes, now: float
     ) -> None:
         context = self._context
         if context.flows.is_full():
@@ -375,7 +388,7 @@
                 self._open_elsewhere(arrival, target)
 
     def _open(
-        self, arrival: succession.Arrival, target: placement.Target
+        self, arrival: predecessors.Arrival, target: placement.Target
     ) -> None:
         now = self._context.clock.read_monotonic()
         self._record(arrival, target, now)
@@ -384,7 +397,7 @@
         self._send(arrival, target)
 
     def _open_elsewhere(
-        self, arrival: succession.Arrival, target: placement.Target
+        self, arrival: predecessors.Arrival, target: placement.Target
     ) -> None:
         """Open a flow where the table alone would not find it.
 
@@ -400,7 +413,7 @@
             self._offer_flow(arrival, target)
 
     def _offer_flow(
-        self, arrival: succession.Arrival, target: placement.Target
+        self, arrival: predecessors.Arrival, target: placement.Target
     ) -> None:
         record = messages.FlowRecord(
             arrival.table.name, arrival.key, target.endpoint
@@ -414,7 +427,7 @@
 
     def _offer(
         self,
-        arrival: succession.Arrival,
+        arrival: predecessors.Arrival,
         record: messages.FlowRecord | messages.TombstoneRecord,
         then: typing.Callable[[], None],
     ) -> None:
@@ -426,7 +439,7 @@
             self._count(_Count.DROPPED_UNCOPIED)
 
     def _refuse(
-        self, arrival: succession.Arrival, identity: bytes, now: float
+        self, arrival: predecessors.Arrival, identity: bytes, now: float
     ) -> None:
         """Refuse an opening packet for good: no later copy may run."""
         window_s = arrival.protocol.tombstone_s
@@ -436,7 +449,7 @@
         record = messages.TombstoneRecord(identity, window_s)
         self._offer(arrival, record, lambda: self._send_refusal(arrival))
 
-    def _send_refusal(self, arrival: succession.Arrival) -> None:
+    def _send_refusal(self, arrival: predecessors.Arrival) -> None:
         raw = arrival.protocol.build_refusal(
             arrival.packet, arrival.table.service.limits.retry_after_s
         )
@@ -446,7 +459,7 @@
         self._outlet.send_to_fabric(raw)
         self._count(_Count.REFUSED)
 
-    def _handle_silent_home(self, arrival: succession.Arrival) -> None:
+    def _handle_silent_home(self, arrival: predecessors.Arrival) -> None:
         """Handle a packet whose home domain can't be reached.
 
         The VMs there may be at work, so the packet may neither run elsewhere
--- a/packages/savoryhaven/src/_savoryhaven/vm.py
+++ b/packages/savoryhaven/src/_savoryhaven/vm.py
@@ -299,17 +299,17 @@
             case membership.Joined(record, returned=returned):
                 logger.info('{} is there', record.vm_id)
                 if not returned:
-                    context.inheritance.note_arrival(record.vm_id)
+                    context.former_owners.note_arrival(record.vm_id)
                 # It may have served alone before we met, so what it holds
                 # of our buckets has to be asked for, new or not.
-                context.inheritance.require(record.vm_id)
+                context.former_owners.require(record.vm_id)
             case membership.Departed(record):
                 logger.info(
                     '{} is {}', record.vm_id, record.state.name.lower()
                 )
                 if record.state is messages.MemberState.LEAVING:
-                    context.inheritance.require(record.vm_id)
-                elif not context.inheritance.is_confirmed(record.vm_id):
+                    context.former_owners.require(record.vm_id)
+                elif not context.former_owners.is_confirmed(record.vm_id):
                     self._handovers.give_up(record.vm_id)
             case membership.DeclaredDead():
                 self._answer_death(now)
@@ -329,7 +329,7 @@
         logger.warning('declared dead while paused or cut off; starting anew')
         context.flows.clear()
         context.loads.own.clear()
-        context.inheritance.reset()
+        context.former_owners.reset()
         self._router.reset()
         self._offers.reset()
         context.members.rejoin(context.clock.read_epoch_ms(), now)
@@ -355,7 +355,7 @@
             if cleaned_for != context.members.version:
                 cleaned_for = context.members.version
                 known = {m.vm_id for m in context.members.list_members()}
-                context.inheritance.keep_peers(known)
+                context.former_owners.keep_peers(known)
                 self._copier.keep_peers(known)
 
     async def _run_overdue(self) -> None:
@@ -367,7 +367,7 @@
         while True:
             await asyncio.sleep(OVERDUE_INTERVAL_S)
             now = context.clock.read_monotonic()
-            overdue = context.inheritance.list_overdue(now)
+            overdue = context.former_owners.list_overdue(now)
             for vm_id in overdue:
                 self._handovers.give_up(vm_id)
             self._router.release_held()
--- a/packages/savoryhaven/tests/test_copies.py
+++ b/packages/savoryhaven/tests/test_copies.py
@@ -7,7 +7,7 @@
 from _savoryhaven import addresses
 from _savoryhaven import copies
 from _savoryhaven import counters
-from _savoryhaven import inheritance
+from _savoryhaven import former_owners
 from _savoryhaven import messages
 from _savoryhaven import placement
 from savoryhaven_standins import fakes
@@ -32,7 +32,7 @@
 ) -> list[bytes]:
     """Return the flows that a receiver would place elsewhere."""
     told = {record.key: record.upstream for record in handover.flows}
-    known = inheritance.Inheritance(3_600.0)
+    known = former_owners.FormerOwners(3_600.0)
     for record in handover.filters:
         view = placement.View(
             generation=record.generation, leaving=frozenset(record.leaving)
@@ -42,7 +42,7 @@
     misplaced = []
     for key, upstream in truth.items():
         placed = told.get(key)
-        past = known.find_past(key, 600.0, 0.0)
+        past = known.find_former_placement(key, 600.0, 0.0)
         if placed is None and past is not None:
             bucket = table.find_bucket(key)
             placed = table.derive_target(bucket, past.view.leaving).endpoint
@@ -108,9 +108,9 @@
         cluster.network.handlers[address] = handler
         await asyncio.sleep(2.0)
         now = joined.context.clock.read_monotonic()
-        silent = joined.context.inheritance.list_silent(now, 600.0)
+        silent = joined.context.former_owners.list_silent(now, 600.0)
         assert silent == ([] if refusing_s < 1.0 else ['a2'])
-        later = joined.context.inheritance.list_silent(now + 600.0, 600.0)
+        later = joined.context.former_owners.list_silent(now + 600.0, 600.0)
         assert later == []
 
 
--- a/packages/savoryhaven/tests/test_messages.py
+++ b/packages/savoryhaven/tests/test_messages.py
@@ -9,7 +9,7 @@
 
 from _savoryhaven import changes
 from _savoryhaven import errors
-from _savoryhaven import inheritance
+from _savoryhaven import former_owners
 from _savoryhaven import messages
 from _savoryhaven import placement
 from savoryhaven_standins import fakes
@@ -104,12 +104,12 @@
     raise AssertionError('the offer was accepted')
 
 
-GOOD_FILTER = inheritance.build_filter([b'k' * 13])
+GOOD_FILTER = former_owners.build_filter([b'k' * 13])
 
 
 @params(b'x', b'garbage', GOOD_FILTER[:-1], b'x' + GOOD_FILTER[1:])
 def test_a_damaged_filter_is_refused(data: bytes) -> None:
-    known = inheritance.Inheritance(3_600.0)
+    known = former_owners.FormerOwners(3_600.0)
     try:
         known.add_filter(data, placement.View(), 1.0)
     except errors.PeerError as exc:
