Remove what stood twice or was read by nobody

Found by reading the whole change: refusals were taken in by two equal loops, two modules built the same error for a silent peer, the longest idle timeout was computed in two places, and three fields were never read.

--- a/packages/savoryhaven/src/_savoryhaven/copies.py
+++ b/packages/savoryhaven/src/_savoryhaven/copies.py
@@ -157,12 +157,11 @@
         """Return VMs that may succeed this one: the others of its domain."""
         members = self._context.members
         domain = members.me.failure_domain
-        same = [
+        return [
             member.vm_id
             for member in members.list_eligible(domain)
             if member.vm_id != members.me.vm_id
         ]
-        return same
 
     def _collect_due(self) -> None:
         context = self._context
@@ -371,18 +370,13 @@
         for held in self._context.former_owners.list_filters(now):
             yield _make_filter_record(held.data, held.view, held.until - now)
         crashed_at = self._crashed.get(receiver)
-        longest = self.get_longest_timeout()
+        longest = self._context.former_owners.longest_s
         if crashed_at is not None and now - crashed_at < longest:
             known = self._context.former_owners.get_copies_view(receiver)
             yield _make_filter_record(
                 b'', known or view, crashed_at + longest - now
             )
 
-    def get_longest_timeout(self) -> float:
-        """Return after how many seconds any flow counts as ended."""
-        protocols = self._context.protocols.values()
-        return max(protocol.idle_timeout_s for protocol in protocols)
-
     def take(self, copies: messages.FlowCopies) -> messages.Received:
         """Take a handover or copies in; raises ``PeerError`` ``SH402``."""
         context = self._context
@@ -400,9 +394,7 @@
             self._take_flow(record, source, now)
         for record in copies.second_hand:
             self._take_flow(record, copies.vm_id, now)
-        for record in copies.tombstones:
-            until = now + record.remaining_s
-            context.tombstones.add(record.key, until, now)
+        self._take_tombstones(copies.tombstones, now)
         for record in copies.filters:
             context.former_owners.add_filter(
                 record.data,
@@ -433,10 +425,15 @@
         now = self._context.clock.read_monotonic()
         for record in offer.flows:
             self._take_flow(record, offer.vm_id, now)
-        for record in offer.tombstones:
+        self._take_tombstones(offer.tombstones, now)
+        return messages.CopyAck(offer.sequence)
+
+    def _take_tombstones(
+        self, records: tuple[messages.TombstoneRecord, ...], now: float
+    ) -> None:
+        for record in records:
             until = now + record.remaining_s
             self._context.tombstones.add(record.key, until, now)
-        return messages.CopyAck(offer.sequence)
 
     def _take_flow(
         self, record: messages.FlowRecord, source: str, now: float
--- a/packages/savoryhaven/src/_savoryhaven/errors.py
+++ b/packages/savoryhaven/src/_savoryhaven/errors.py
@@ -59,5 +59,12 @@
     """A peer sent something that can't be understood."""
 
 
+def make_silence_error(message: str) -> PeerError:
+    """Return the error for a peer that does not answer."""
+    return PeerError(
+        Problem(code='SH403', message=message, hint='see failure-domain.md')
+    )
+
+
 class OperatorError(SavoryhavenError):
     """An operators' command can't be carried out."""
--- a/packages/savoryhaven/src/_savoryhaven/former_owners.py
+++ b/packages/savoryhaven/src/_savoryhaven/former_owners.py
@@ -115,7 +115,7 @@
 
     def __init__(self, longest_s: float) -> None:
         # After so long any flow counts as ended.
-        self._longest_s: typing.Final = longest_s
+        self.longest_s: typing.Final = longest_s
         self._peers: dict[str, _Peer] = {}
         self._filters: list[HandoverFilter] = []
 
@@ -261,7 +261,7 @@
         for held in self._filters:
             if held.until <= now or not held.may_hold(key):
                 continue
-            age_s = self._longest_s - (held.until - now)
+            age_s = self.longest_s - (held.until - now)
             if held.bloom is not None or age_s < window_s:
                 return FormerPlacement(held.view, told=held.bloom is not None)
         return None
--- a/packages/savoryhaven/src/_savoryhaven/membership.py
+++ b/packages/savoryhaven/src/_savoryhaven/membership.py
@@ -30,7 +30,6 @@
 
     record: messages.MemberRecord
     changed_at: float
-    first_seen_at: float
     knowledge: messages.Knowledge = messages.Knowledge(0, 0, True)
 
     @property
@@ -98,7 +97,7 @@
         self.version = 1
         self._domain_versions: dict[str, int] = {}
         self._started_at = now
-        self._members = {me.vm_id: Member(me, now, now)}
+        self._members = {me.vm_id: Member(me, now)}
         self._news: dict[str, _News] = {}
         self._listeners: list[typing.Callable[[Event, float], None]] = []
 
@@ -249,7 +248,7 @@
         self._news[record.vm_id] = _News(record)
 
     def _add(self, record: messages.MemberRecord, now: float) -> None:
-        member = Member(record, now, now)
+        member = Member(record, now)
         self._members[record.vm_id] = member
         self._news[record.vm_id] = _News(record)
         self._note_change(record.failure_domain)
--- a/packages/savoryhaven/src/_savoryhaven/peers.py
+++ b/packages/savoryhaven/src/_savoryhaven/peers.py
@@ -75,7 +75,7 @@
         """
         member = self._context.members.get(vm_id)
         if member is None:
-            raise _fail(f'{vm_id} is not known')
+            raise errors.make_silence_error(f'{vm_id} is not known')
         return await self.request_at(member.record.peer_address, message)
 
     async def request_at(
@@ -106,11 +106,3 @@
         encoded = messages.encode_message(answer)
         self._context.counters[counters.Count.CONTROL_BYTES] += len(encoded)
         return encoded
-
-
-def _fail(message: str) -> errors.PeerError:
-    return errors.PeerError(
-        errors.Problem(
-            code='SH403', message=message, hint='see failure-domain.md'
-        )
-    )
--- a/packages/savoryhaven/src/_savoryhaven/routing.py
+++ b/packages/savoryhaven/src/_savoryhaven/routing.py
@@ -35,11 +35,10 @@
 
 @attrs.frozen
 class _Past:
-    """A table of a service, and when it came into force."""
+    """A table of a service, and the generation that brought it."""
 
     generation: int
     table: placement.ServiceTable
-    adopted_at: float
 
 
 @attrs.frozen
@@ -64,7 +63,6 @@
         self.tables: placement.Tables | None = None
         self.view = placement.View()
         self.list_revision = 0
-        self.adopted_at = 0.0
         self._history: dict[str, list[_Past]] = {}
         self._origins: dict[bytes, Origin] = {}
         self._lingering: dict[bytes, _Lingering] = {}
@@ -88,9 +86,8 @@
         tables = placement.Tables(document, former)
         self.tables = tables
         self.view = attrs.evolve(self.view, generation=document.generation)
-        self.adopted_at = now
         changed = _find_changed(former, tables)
-        self._keep(tables, changed, now)
+        self._keep(tables, changed)
         self._replace_origins(tables, now)
         return Adopted(tables, changed)
 
@@ -161,15 +158,13 @@
         key = placement.build_key(transport, target.address)
         return key not in self.tables.by_upstream
 
-    def _keep(
-        self, tables: placement.Tables, changed: frozenset[str], now: float
-    ) -> None:
+    def _keep(self, tables: placement.Tables, changed: frozenset[str]) -> None:
         for name in changed:
             table = tables.by_name.get(name)
             if table is None:
                 continue
             pasts = self._history.setdefault(name, [])
-            pasts.append(_Past(tables.document.generation, table, now))
+            pasts.append(_Past(tables.document.generation, table))
             del pasts[:-TABLES_KEPT]
 
     def _replace_origins(self, tables: placement.Tables, now: float) -> None:
--- a/packages/savoryhaven/src/_savoryhaven/websocket.py
+++ b/packages/savoryhaven/src/_savoryhaven/websocket.py
@@ -40,7 +40,9 @@
                 TimeoutError,
                 websockets.WebSocketException,
             ) as exc:
-                raise _fail(f'{self._address}: {exc!r}') from exc
+                raise errors.make_silence_error(
+                    f'{self._address}: {exc!r}'
+                ) from exc
             finally:
                 # An answer that comes later would be taken for another's.
                 if self._exchanging:
@@ -103,11 +105,3 @@
         """Stop listening and drop open connections."""
         self._server.close()
         await self._server.wait_closed()
-
-
-def _fail(message: str) -> errors.PeerError:
-    return errors.PeerError(
-        errors.Problem(
-            code='SH403', message=message, hint='see failure-domain.md'
-        )
-    )
