Record a refusal that does not wait for its copy

Found by reading: while the copy of a refusal is still unacknowledged, the same request sent again is refused at once from the owner's own memory. A crash of the owner then could let a later copy run.

--- a/packages/savoryhaven/tests/test_recovery.py
+++ b/packages/savoryhaven/tests/test_recovery.py
@@ -4,6 +4,7 @@
 
 from nose2.tools import params
 
+from _savoryhaven import counters
 from savoryhaven_standins import fakes
 
 FLOWS = 200
@@ -166,3 +167,28 @@
             in {fakes.make_caller(n) for n in range(FLOWS, 2 * FLOWS)}
         ]
         assert not new, len(new)
+
+
+@fakes.run_virtually
+async def test_a_repeated_refusal_waits_for_its_copy_as_well() -> None:
+    async with fakes.Cluster(seed=16, domains={'b': 2}) as cluster:
+        await cluster.apply(
+            fakes.make_document(
+                idempotent=False, upstreams=('b',), limits={'flows': 1}
+            )
+        )
+        await asyncio.sleep(2.5)
+        cluster.send(fakes.make_request(0, fakes.ONE, 1))
+        await asyncio.sleep(1.5)
+        # No copy gets through, so nobody may be told "not run".
+        cluster.network.loss = 1.0
+        for number in range(1, 40):
+            for vm_id in cluster.vms:
+                cluster.send(fakes.make_request(number, fakes.ONE, 1), vm_id)
+                cluster.send(fakes.make_request(number, fakes.ONE, 1), vm_id)
+        # Packets to the fabric are lost as well; count what was refused.
+        refused = sum(
+            vm.context.counters[counters.Count.REFUSED]
+            for vm in cluster.vms.values()
+        )
+        assert refused == 0, refused
