Let a repeated refusal wait for its copy, and bound offered openings

Cause: Router._decide_opening answered a repetition of a refused opening at once, although the copy of the first refusal might not have been acknowledged. Router._offered kept each opening whose copy was never acknowledged. Change: a repetition goes through _refuse again; offered openings end after OFFER_TIMEOUT_S.

--- a/packages/savoryhaven/src/_savoryhaven/router.py
+++ b/packages/savoryhaven/src/_savoryhaven/router.py
@@ -16,6 +16,7 @@
 from _savoryhaven import flows
 from _savoryhaven import former_owners
 from _savoryhaven import messages
+from _savoryhaven import offers
 from _savoryhaven import packets
 from _savoryhaven import placement
 from _savoryhaven import predecessors
@@ -71,6 +72,14 @@
     until: float
 
 
+@attrs.frozen
+class _Offered:
+    """Where an opening goes once its copy is acknowledged."""
+
+    target: placement.Target
+    until: float
+
+
 class Router:
     """Decides about packets for one VM."""
 
@@ -85,7 +94,7 @@
         # The deadline of the packet that is looked at again just now.
         self._held_until: float | None = None
         # Openings whose copy is on its way, and where they are to go.
-        self._offered: dict[bytes, placement.Target] = {}
+        self._offered: dict[bytes, _Offered] = {}
 
     def receive_from_fabric(self, raw: bytes) -> None:
         """Handle a packet that the fabric handed to this VM."""
@@ -229,8 +238,8 @@
         if self._await_handover(arrival, now):
             return
         offered = self._offered.get(arrival.key)
-        if offered is not None:
-            self._offer_flow(arrival, offered)
+        if offered is not None and now < offered.until:
+            self._offer_flow(arrival, offered.target)
             return
         role = arrival.protocol.classify(arrival.packet)
         if role is flows.Role.OPENING:
@@ -249,7 +258,8 @@
         context = self._context
         identity = arrival.protocol.identify_opening(arrival.packet)
         if context.tombstones.has(identity, now):
-            self._send_refusal(arrival)
+            # The copy of the first refusal may not have been acknowledged.
+            self._refuse(arrival, identity, now)
             return
         window = arrival.protocol.copy_window_s
         past = self._predecessors.find_former_placement(arrival, window, now)
@@ -409,9 +419,21 @@
         elif arrival.ownership.successor is None:
             self._open(arrival, self._find_default(arrival))
         else:
-            self._offered[arrival.key] = target
+            self._remember_offered(arrival.key, target)
             self._offer_flow(arrival, target)
 
+    def _remember_offered(self, key: bytes, target: placement.Target) -> None:
+        """Keep an opening while its copy is on its way.
+
+        An entry whose copy is never acknowledged ends with its time. A new
+        entry stands last, so the oldest ones are found first.
+        """
+        now = self._context.clock.read_monotonic()
+        self._offered.pop(key, None)
+        self._offered[key] = _Offered(target, now + offers.OFFER_TIMEOUT_S)
+        while now >= next(iter(self._offered.values())).until:
+            del self._offered[next(iter(self._offered))]
+
     def _offer_flow(
         self, arrival: predecessors.Arrival, target: placement.Target
     ) -> None:
--- a/packages/savoryhaven/tests/test_recovery.py
+++ b/packages/savoryhaven/tests/test_recovery.py
@@ -192,3 +192,16 @@
             for vm in cluster.vms.values()
         )
         assert refused == 0, refused
+
+
+@fakes.run_virtually
+async def test_openings_without_acknowledged_copies_end_with_their_time() -> (
+    None
+):
+    async with fakes.Cluster(seed=17, domains={'b': 2}) as cluster:
+        router = next(iter(cluster.vms.values()))._router
+        for number in range(50):
+            router._remember_offered(number.to_bytes(2), None)
+            await asyncio.sleep(0.1)
+        # An opening a 0.1 s, each kept for 0.5 s.
+        assert len(router._offered) <= 6, len(router._offered)
