Move what only the owner design needs into _savoryhaven.tracking

Cause: 35 modules stood side by side; a VM whose packets carry their flow's place must not import the owners' modules. Change: modules moved, imports sorted, no line of logic changed.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -17,18 +17,18 @@
 import common
 from loguru import logger
 
-from _savoryhaven import changes
-from _savoryhaven import checks
-from _savoryhaven import counters
-from _savoryhaven import document
-from _savoryhaven import flows
-from _savoryhaven import former_owners
-from _savoryhaven import membership
-from _savoryhaven import messages
-from _savoryhaven import ownership
-from _savoryhaven import placement
-from _savoryhaven import routing
-from _savoryhaven import settings
+from _savoryhaven.tracking import changes
+from _savoryhaven.tracking import checks
+from _savoryhaven.tracking import counters
+from _savoryhaven.tracking import document
+from _savoryhaven.tracking import flows
+from _savoryhaven.tracking import former_owners
+from _savoryhaven.tracking import membership
+from _savoryhaven.tracking import messages
+from _savoryhaven.tracking import ownership
+from _savoryhaven.tracking import placement
+from _savoryhaven.tracking import routing
+from _savoryhaven.tracking import settings
 from savoryhaven_standins import fakes
 
 NODES = 1_500
--- a/benchmarks/flow_memory.py
+++ b/benchmarks/flow_memory.py
@@ -7,9 +7,9 @@
 
 import common
 
-from _savoryhaven import document
-from _savoryhaven import flows
-from _savoryhaven import placement
+from _savoryhaven.tracking import document
+from _savoryhaven.tracking import flows
+from _savoryhaven.tracking import placement
 
 SIZES = (50_000, 100_000, 200_000, 300_000)
 
--- a/benchmarks/handover.py
+++ b/benchmarks/handover.py
@@ -12,9 +12,9 @@
 import common
 from loguru import logger
 
-from _savoryhaven import copies
-from _savoryhaven import flows
-from _savoryhaven import messages
+from _savoryhaven.tracking import copies
+from _savoryhaven.tracking import flows
+from _savoryhaven.tracking import messages
 from savoryhaven_standins import fakes
 
 SIZES = (50_000, 100_000, 200_000, 300_000)
--- a/benchmarks/packet_speed.py
+++ b/benchmarks/packet_speed.py
@@ -11,7 +11,7 @@
 
 import common
 
-from _savoryhaven import packets
+from _savoryhaven.tracking import packets
 from savoryhaven_standins import processes
 
 ROUNDS = 5
--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -15,8 +15,8 @@
 from loguru import logger
 import xxhash
 
-from _savoryhaven import document as document_module
-from _savoryhaven import packets
+from _savoryhaven.tracking import document as document_module
+from _savoryhaven.tracking import packets
 from savoryhaven_standins import fakes
 
 SEED = 20_261_204
--- a/benchmarks/relay_hop.py
+++ b/benchmarks/relay_hop.py
@@ -11,10 +11,10 @@
 import common
 import packet_speed
 
-from _savoryhaven import document
-from _savoryhaven import flows
-from _savoryhaven import packets
-from _savoryhaven import placement
+from _savoryhaven.tracking import document
+from _savoryhaven.tracking import flows
+from _savoryhaven.tracking import packets
+from _savoryhaven.tracking import placement
 from savoryhaven_standins import processes
 
 NAMES = ('bench-1', 'bench-2')
--- a/benchmarks/steering.py
+++ b/benchmarks/steering.py
@@ -9,9 +9,9 @@
 
 import common
 
-from _savoryhaven import document
-from _savoryhaven import loads
-from _savoryhaven import placement
+from _savoryhaven.tracking import document
+from _savoryhaven.tracking import loads
+from _savoryhaven.tracking import placement
 
 SIZES = (100, 1_000, 10_000, 100_000)
 UPSTREAMS = 7
--- a/packages/savoryhaven-ctl/src/_savoryhaven_ctl/commands.py
+++ b/packages/savoryhaven-ctl/src/_savoryhaven_ctl/commands.py
@@ -15,14 +15,14 @@
 from rich import console as rich_console
 from rich import table as rich_table
 
-from _savoryhaven import changes
-from _savoryhaven import checks
 from _savoryhaven import clock
-from _savoryhaven import document
 from _savoryhaven import errors
-from _savoryhaven import platform
-from _savoryhaven import schema
-from _savoryhaven import settings
+from _savoryhaven.tracking import changes
+from _savoryhaven.tracking import checks
+from _savoryhaven.tracking import document
+from _savoryhaven.tracking import platform
+from _savoryhaven.tracking import schema
+from _savoryhaven.tracking import settings
 from _savoryhaven_ctl import editing
 from _savoryhaven_ctl import fleet
 
--- a/packages/savoryhaven-ctl/src/_savoryhaven_ctl/editing.py
+++ b/packages/savoryhaven-ctl/src/_savoryhaven_ctl/editing.py
@@ -11,12 +11,12 @@
 
 import attrs
 
-from _savoryhaven import changes
-from _savoryhaven import document
 from _savoryhaven import errors
 from _savoryhaven import hooks
-from _savoryhaven import platform
-from _savoryhaven import schema
+from _savoryhaven.tracking import changes
+from _savoryhaven.tracking import document
+from _savoryhaven.tracking import platform
+from _savoryhaven.tracking import schema
 
 RETRY_INTERVAL_S = 0.2
 MS_PER_S = 1_000
--- a/packages/savoryhaven-ctl/src/_savoryhaven_ctl/fleet.py
+++ b/packages/savoryhaven-ctl/src/_savoryhaven_ctl/fleet.py
@@ -7,7 +7,7 @@
 import attrs
 
 from _savoryhaven import errors
-from _savoryhaven import platform
+from _savoryhaven.tracking import platform
 
 ANSWER_TIMEOUT_S = 1.0
 POLL_INTERVAL_S = 0.1
--- a/packages/savoryhaven-ctl/tests/test_editing.py
+++ b/packages/savoryhaven-ctl/tests/test_editing.py
@@ -5,8 +5,8 @@
 import attrs
 from nose2.tools import params
 
-from _savoryhaven import document
 from _savoryhaven import errors
+from _savoryhaven.tracking import document
 from _savoryhaven_ctl import editing
 from savoryhaven_standins import fakes
 
--- a/packages/savoryhaven-standins/src/savoryhaven_standins/fakes.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/fakes.py
@@ -16,14 +16,14 @@
 import dpkt
 
 from _savoryhaven import addresses
-from _savoryhaven import document
 from _savoryhaven import errors
 from _savoryhaven import hooks
-from _savoryhaven import platform
 from _savoryhaven import plugins
-from _savoryhaven import schema
-from _savoryhaven import settings as settings_module
-from _savoryhaven import vm as vm_module
+from _savoryhaven.tracking import document
+from _savoryhaven.tracking import platform
+from _savoryhaven.tracking import schema
+from _savoryhaven.tracking import settings as settings_module
+from _savoryhaven.tracking import vm as vm_module
 
 REQUEST_TIMEOUT_S = 2.0
 FABRIC = addresses.Address('10.255.0.1', 6080)
--- a/packages/savoryhaven/src/_savoryhaven/cli.py
+++ b/packages/savoryhaven/src/_savoryhaven/cli.py
@@ -12,12 +12,12 @@
 import pluggy
 
 from _savoryhaven import errors
-from _savoryhaven import logs
-from _savoryhaven import metrics
-from _savoryhaven import operator_api
+from _savoryhaven.operation import logs
+from _savoryhaven.operation import metrics
 from _savoryhaven import plugins
-from _savoryhaven import settings as settings_module
-from _savoryhaven import vm
+from _savoryhaven.tracking import operator_api
+from _savoryhaven.tracking import settings as settings_module
+from _savoryhaven.tracking import vm
 
 EXIT_FAILED = 1
 EXIT_USAGE = 2
--- a/packages/savoryhaven/src/_savoryhaven/hooks.py
+++ b/packages/savoryhaven/src/_savoryhaven/hooks.py
@@ -18,9 +18,9 @@
 import pluggy
 
 from _savoryhaven import addresses
-from _savoryhaven import flows
-from _savoryhaven import packets
-from _savoryhaven import settings as settings_module
+from _savoryhaven.tracking import flows
+from _savoryhaven.tracking import packets
+from _savoryhaven.tracking import settings as settings_module
 
 NAMESPACE = 'savoryhaven'
 
--- /dev/null
+++ b/packages/savoryhaven/src/_savoryhaven/operation/__init__.py
@@ -0,0 +1,1 @@
+"""How a process is run and observed."""
--- a/packages/savoryhaven/src/_savoryhaven/logs.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/logs.py
@@ -4,7 +4,7 @@
 
 from loguru import logger
 
-from _savoryhaven import settings
+from _savoryhaven.tracking import settings
 
 TEXT_FORMAT = '{time:YYYY-MM-DD HH:mm:ss.SSS} {level} {message}'
 
--- a/packages/savoryhaven/src/_savoryhaven/metrics.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/metrics.py
@@ -8,8 +8,8 @@
 from opentelemetry.sdk import resources
 import prometheus_client
 
-from _savoryhaven import context as context_module
-from _savoryhaven import counters
+from _savoryhaven.tracking import context as context_module
+from _savoryhaven.tracking import counters
 
 Observations = typing.Iterable[metrics_api.Observation]
 
--- a/packages/savoryhaven/src/_savoryhaven/plugins.py
+++ b/packages/savoryhaven/src/_savoryhaven/plugins.py
@@ -9,12 +9,12 @@
 from _savoryhaven import clock
 from _savoryhaven import errors
 from _savoryhaven import hooks
-from _savoryhaven import platform
-from _savoryhaven.protocols import coap
-from _savoryhaven.protocols import tcp
-from _savoryhaven.protocols import udp
-from _savoryhaven import settings as settings_module
-from _savoryhaven import transport
+from _savoryhaven.tracking import platform
+from _savoryhaven.tracking.protocols import coap
+from _savoryhaven.tracking.protocols import tcp
+from _savoryhaven.tracking.protocols import udp
+from _savoryhaven.tracking import settings as settings_module
+from _savoryhaven.tracking import transport
 
 
 @typing.final
--- /dev/null
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/__init__.py
@@ -0,0 +1,1 @@
+"""Owners track flows: for platforms whose packets carry no tag."""
--- a/packages/savoryhaven/src/_savoryhaven/admission.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/admission.py
@@ -4,11 +4,11 @@
 
 import attrs
 
-from _savoryhaven import loads as loads_module
-from _savoryhaven import membership
-from _savoryhaven import ownership
-from _savoryhaven import placement
-from _savoryhaven import routing as routing_module
+from _savoryhaven.tracking import loads as loads_module
+from _savoryhaven.tracking import membership
+from _savoryhaven.tracking import ownership
+from _savoryhaven.tracking import placement
+from _savoryhaven.tracking import routing as routing_module
 
 # A service may open its flows of this many seconds at once.
 RATE_BURST_S = 1.0
--- a/packages/savoryhaven/src/_savoryhaven/changes.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/changes.py
@@ -6,9 +6,9 @@
 
 import attrs
 
-from _savoryhaven import checks
-from _savoryhaven import document
 from _savoryhaven import errors
+from _savoryhaven.tracking import checks
+from _savoryhaven.tracking import document
 
 # An address that one service gives up rests for so long before another may
 # have it. VMs that were cut off may go on sending to it in the meantime.
--- a/packages/savoryhaven/src/_savoryhaven/checks.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/checks.py
@@ -5,8 +5,8 @@
 import attrs
 
 from _savoryhaven import addresses
-from _savoryhaven import document
 from _savoryhaven import errors
+from _savoryhaven.tracking import document
 
 VALUE_LIMIT_BYTES = 1_000_000
 
--- a/packages/savoryhaven/src/_savoryhaven/configuration.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/configuration.py
@@ -12,17 +12,17 @@
 
 from loguru import logger
 
-from _savoryhaven import changes
-from _savoryhaven import context as context_module
-from _savoryhaven import counters
-from _savoryhaven import document
 from _savoryhaven import errors
 from _savoryhaven import hooks
-from _savoryhaven import messages
-from _savoryhaven import ownership
-from _savoryhaven import placement
-from _savoryhaven import platform
-from _savoryhaven import routing
+from _savoryhaven.tracking import changes
+from _savoryhaven.tracking import context as context_module
+from _savoryhaven.tracking import counters
+from _savoryhaven.tracking import document
+from _savoryhaven.tracking import messages
+from _savoryhaven.tracking import ownership
+from _savoryhaven.tracking import placement
+from _savoryhaven.tracking import platform
+from _savoryhaven.tracking import routing
 
 READERS_PER_DOMAIN = 2
 READER_SALT = 1
--- a/packages/savoryhaven/src/_savoryhaven/context.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/context.py
@@ -5,17 +5,17 @@
 
 import attrs
 
-from _savoryhaven import admission as admission_module
-from _savoryhaven import counters as counters_module
-from _savoryhaven import flows as flows_module
-from _savoryhaven import former_owners as former_owners_module
 from _savoryhaven import hooks
-from _savoryhaven import loads as loads_module
-from _savoryhaven import membership as membership_module
-from _savoryhaven import messages
-from _savoryhaven import ownership as ownership_module
-from _savoryhaven import routing as routing_module
-from _savoryhaven import settings as settings_module
+from _savoryhaven.tracking import admission as admission_module
+from _savoryhaven.tracking import counters as counters_module
+from _savoryhaven.tracking import flows as flows_module
+from _savoryhaven.tracking import former_owners as former_owners_module
+from _savoryhaven.tracking import loads as loads_module
+from _savoryhaven.tracking import membership as membership_module
+from _savoryhaven.tracking import messages
+from _savoryhaven.tracking import ownership as ownership_module
+from _savoryhaven.tracking import routing as routing_module
+from _savoryhaven.tracking import settings as settings_module
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/packages/savoryhaven/src/_savoryhaven/copies.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/copies.py
@@ -12,14 +12,14 @@
 import attrs
 from loguru import logger
 
-from _savoryhaven import context as context_module
-from _savoryhaven import counters
 from _savoryhaven import errors
-from _savoryhaven import flows
-from _savoryhaven import former_owners
-from _savoryhaven import membership
-from _savoryhaven import messages
-from _savoryhaven import placement
+from _savoryhaven.tracking import context as context_module
+from _savoryhaven.tracking import counters
+from _savoryhaven.tracking import flows
+from _savoryhaven.tracking import former_owners
+from _savoryhaven.tracking import membership
+from _savoryhaven.tracking import messages
+from _savoryhaven.tracking import placement
 
 REPLICATION_INTERVAL_S = 0.1
 # Copies expire at their holder like flows, so they are sent again in time.
--- a/packages/savoryhaven/src/_savoryhaven/detector.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/detector.py
@@ -4,9 +4,9 @@
 import itertools
 import typing
 
-from _savoryhaven import context as context_module
-from _savoryhaven import membership
-from _savoryhaven import messages
+from _savoryhaven.tracking import context as context_module
+from _savoryhaven.tracking import membership
+from _savoryhaven.tracking import messages
 
 HEARTBEAT_INTERVAL_S = 0.1
 # All members are looked at for expiry once in so many heartbeats.
--- a/packages/savoryhaven/src/_savoryhaven/document.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/document.py
@@ -11,7 +11,7 @@
 import attrs
 
 from _savoryhaven import errors
-from _savoryhaven import schema
+from _savoryhaven.tracking import schema
 
 GENERATION_MAX = 2**53
 SEED_MAX = 2**32 - 1
--- a/packages/savoryhaven/src/_savoryhaven/flows.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/flows.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from _savoryhaven import packets
-from _savoryhaven import placement
+from _savoryhaven.tracking import packets
+from _savoryhaven.tracking import placement
 
 FLOW_KEY_BYTES = 13
 
--- a/packages/savoryhaven/src/_savoryhaven/former_owners.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/former_owners.py
@@ -13,7 +13,7 @@
 import xxhash
 
 from _savoryhaven import errors
-from _savoryhaven import placement
+from _savoryhaven.tracking import placement
 
 # A new flow that is a false positive opens where the former owner would have
 # put it, even if that upstream is leaving by now. Takes 2.4 B a flow.
--- a/packages/savoryhaven/src/_savoryhaven/handovers.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/handovers.py
@@ -5,13 +5,13 @@
 
 from loguru import logger
 
-from _savoryhaven import configuration as configuration_module
-from _savoryhaven import context as context_module
-from _savoryhaven import copies
-from _savoryhaven import counters
 from _savoryhaven import errors
-from _savoryhaven import former_owners
-from _savoryhaven import messages
+from _savoryhaven.tracking import configuration as configuration_module
+from _savoryhaven.tracking import context as context_module
+from _savoryhaven.tracking import copies
+from _savoryhaven.tracking import counters
+from _savoryhaven.tracking import former_owners
+from _savoryhaven.tracking import messages
 
 RETRY_S = 0.1
 # How often a VM tries to get the document that a peer's message builds on.
--- a/packages/savoryhaven/src/_savoryhaven/loads.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/loads.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from _savoryhaven import placement
+from _savoryhaven.tracking import placement
 
 REPORT_AGE_S = 5.0
 REPORT_FACTOR_MIN = 0.95
--- a/packages/savoryhaven/src/_savoryhaven/membership.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/membership.py
@@ -11,8 +11,8 @@
 
 import attrs
 
-from _savoryhaven import messages
-from _savoryhaven import settings as settings_module
+from _savoryhaven.tracking import messages
+from _savoryhaven.tracking import settings as settings_module
 
 NEWS_PER_MESSAGE = 6
 NEWS_REPEAT_FACTOR = 3
--- a/packages/savoryhaven/src/_savoryhaven/messages.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/messages.py
@@ -12,10 +12,10 @@
 import cattrs
 import cbor2
 
-from _savoryhaven import changes
-from _savoryhaven import document
 from _savoryhaven import errors
-from _savoryhaven import schema
+from _savoryhaven.tracking import changes
+from _savoryhaven.tracking import document
+from _savoryhaven.tracking import schema
 
 
 # More than any packet makes.
--- a/packages/savoryhaven/src/_savoryhaven/offers.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/offers.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from _savoryhaven import context as context_module
-from _savoryhaven import messages
+from _savoryhaven.tracking import context as context_module
+from _savoryhaven.tracking import messages
 
 RETRY_INTERVAL_S = 0.05
 OFFER_TIMEOUT_S = 0.5
--- a/packages/savoryhaven/src/_savoryhaven/operator_api.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/operator_api.py
@@ -9,11 +9,11 @@
 from aiohttp import web
 
 from _savoryhaven import addresses
-from _savoryhaven import configuration as configuration_module
-from _savoryhaven import context as context_module
-from _savoryhaven import copies
-from _savoryhaven import metrics
-from _savoryhaven import schema
+from _savoryhaven.operation import metrics
+from _savoryhaven.tracking import configuration as configuration_module
+from _savoryhaven.tracking import context as context_module
+from _savoryhaven.tracking import copies
+from _savoryhaven.tracking import schema
 
 
 class OperatorApi:
--- a/packages/savoryhaven/src/_savoryhaven/ownership.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/ownership.py
@@ -9,8 +9,8 @@
 
 import attrs
 
-from _savoryhaven import membership
-from _savoryhaven import placement
+from _savoryhaven.tracking import membership
+from _savoryhaven.tracking import placement
 
 OWNERS_PER_DOMAIN = 8
 # A VM that joined may have pushed another one off the list of candidates.
--- a/packages/savoryhaven/src/_savoryhaven/peers.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/peers.py
@@ -5,11 +5,11 @@
 from loguru import logger
 
 from _savoryhaven import addresses
-from _savoryhaven import context as context_module
-from _savoryhaven import counters
 from _savoryhaven import errors
 from _savoryhaven import hooks
-from _savoryhaven import messages
+from _savoryhaven.tracking import context as context_module
+from _savoryhaven.tracking import counters
+from _savoryhaven.tracking import messages
 
 Handle = typing.Callable[
     [messages.Message], typing.Awaitable[messages.Message]
--- a/packages/savoryhaven/src/_savoryhaven/placement.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/placement.py
@@ -15,7 +15,7 @@
 import xxhash
 
 from _savoryhaven import addresses
-from _savoryhaven import document
+from _savoryhaven.tracking import document
 
 # About 300 B each.
 RANKS_LIMIT = 50_000
--- a/packages/savoryhaven/src/_savoryhaven/platform.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/platform.py
@@ -14,8 +14,8 @@
 import attrs
 
 from _savoryhaven import errors
-from _savoryhaven import schema
-from _savoryhaven import settings as settings_module
+from _savoryhaven.tracking import schema
+from _savoryhaven.tracking import settings as settings_module
 
 DOCUMENT_KIND = 'routing'
 DOCUMENT_NAME = 'document'
--- a/packages/savoryhaven/src/_savoryhaven/predecessors.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/predecessors.py
@@ -4,12 +4,12 @@
 
 import attrs
 
-from _savoryhaven import context as context_module
-from _savoryhaven import former_owners
 from _savoryhaven import hooks
-from _savoryhaven import ownership
-from _savoryhaven import packets
-from _savoryhaven import placement
+from _savoryhaven.tracking import context as context_module
+from _savoryhaven.tracking import former_owners
+from _savoryhaven.tracking import ownership
+from _savoryhaven.tracking import packets
+from _savoryhaven.tracking import placement
 
 
 @attrs.define
--- a/packages/savoryhaven/src/_savoryhaven/protocols/coap.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/protocols/coap.py
@@ -4,8 +4,8 @@
 
 import aiocoap
 
-from _savoryhaven import flows
-from _savoryhaven import packets
+from _savoryhaven.tracking import flows
+from _savoryhaven.tracking import packets
 
 # EXCHANGE_LIFETIME of RFC 7252, 4.8.2: how long a copy of a confirmable
 # request may arrive after its first transmission.
--- a/packages/savoryhaven/src/_savoryhaven/protocols/tcp.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/protocols/tcp.py
@@ -4,8 +4,8 @@
 
 import dpkt
 
-from _savoryhaven import flows
-from _savoryhaven import packets
+from _savoryhaven.tracking import flows
+from _savoryhaven.tracking import packets
 
 IDLE_TIMEOUT_S = 3_600.0
 # SYN retransmissions of common stacks end about two minutes after the first.
--- a/packages/savoryhaven/src/_savoryhaven/protocols/udp.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/protocols/udp.py
@@ -2,8 +2,8 @@
 
 import typing
 
-from _savoryhaven import flows
-from _savoryhaven import packets
+from _savoryhaven.tracking import flows
+from _savoryhaven.tracking import packets
 
 IDLE_TIMEOUT_S = 300.0
 
--- a/packages/savoryhaven/src/_savoryhaven/reports.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/reports.py
@@ -12,10 +12,10 @@
 import attrs
 import xxhash
 
-from _savoryhaven import context as context_module
 from _savoryhaven import errors
-from _savoryhaven import placement
-from _savoryhaven import schema
+from _savoryhaven.tracking import context as context_module
+from _savoryhaven.tracking import placement
+from _savoryhaven.tracking import schema
 
 INTERVAL_S = 1.0
 TIMEOUT_S = 0.8
--- a/packages/savoryhaven/src/_savoryhaven/router.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/router.py
@@ -10,16 +10,16 @@
 
 import attrs
 
-from _savoryhaven import admission
-from _savoryhaven import context as context_module
-from _savoryhaven import counters
-from _savoryhaven import flows
-from _savoryhaven import former_owners
-from _savoryhaven import messages
-from _savoryhaven import offers
-from _savoryhaven import packets
-from _savoryhaven import placement
-from _savoryhaven import predecessors
+from _savoryhaven.tracking import admission
+from _savoryhaven.tracking import context as context_module
+from _savoryhaven.tracking import counters
+from _savoryhaven.tracking import flows
+from _savoryhaven.tracking import former_owners
+from _savoryhaven.tracking import messages
+from _savoryhaven.tracking import offers
+from _savoryhaven.tracking import packets
+from _savoryhaven.tracking import placement
+from _savoryhaven.tracking import predecessors
 
 # VMs whose views differ for a moment pass a packet to and fro. After a few
 # hops it waits before each further one, and after many it is dropped.
--- a/packages/savoryhaven/src/_savoryhaven/routing.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/routing.py
@@ -7,9 +7,9 @@
 
 import attrs
 
-from _savoryhaven import checks
-from _savoryhaven import document as document_module
-from _savoryhaven import placement
+from _savoryhaven.tracking import checks
+from _savoryhaven.tracking import document as document_module
+from _savoryhaven.tracking import placement
 
 TABLES_KEPT = 16
 # How long answers of an upstream that left the document are still carried.
--- a/packages/savoryhaven/src/_savoryhaven/settings.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/settings.py
@@ -13,7 +13,7 @@
 
 from _savoryhaven import addresses
 from _savoryhaven import errors
-from _savoryhaven import schema
+from _savoryhaven.tracking import schema
 
 _NAME = r'^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$'
 _ADDRESS = r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$'
--- a/packages/savoryhaven/src/_savoryhaven/transport.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/transport.py
@@ -6,7 +6,7 @@
 
 from _savoryhaven import addresses
 from _savoryhaven import hooks
-from _savoryhaven import websocket
+from _savoryhaven.tracking import websocket
 
 # Room for bursts; the kernel may grant less.
 SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
--- a/packages/savoryhaven/src/_savoryhaven/vm.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/vm.py
@@ -7,22 +7,22 @@
 import pluggy
 
 from _savoryhaven import addresses
-from _savoryhaven import configuration
-from _savoryhaven import context as context_module
-from _savoryhaven import copies
-from _savoryhaven import counters
-from _savoryhaven import detector
 from _savoryhaven import errors
-from _savoryhaven import handovers
 from _savoryhaven import hooks
-from _savoryhaven import membership
-from _savoryhaven import messages
-from _savoryhaven import offers
-from _savoryhaven import peers as peers_module
 from _savoryhaven import plugins
-from _savoryhaven import reports
-from _savoryhaven import router
-from _savoryhaven import settings as settings_module
+from _savoryhaven.tracking import configuration
+from _savoryhaven.tracking import context as context_module
+from _savoryhaven.tracking import copies
+from _savoryhaven.tracking import counters
+from _savoryhaven.tracking import detector
+from _savoryhaven.tracking import handovers
+from _savoryhaven.tracking import membership
+from _savoryhaven.tracking import messages
+from _savoryhaven.tracking import offers
+from _savoryhaven.tracking import peers as peers_module
+from _savoryhaven.tracking import reports
+from _savoryhaven.tracking import router
+from _savoryhaven.tracking import settings as settings_module
 
 JOIN_TIMEOUT_S = 5.0
 JOIN_RETRY_S = 0.1
--- a/packages/savoryhaven/src/savoryhaven/__init__.py
+++ b/packages/savoryhaven/src/savoryhaven/__init__.py
@@ -11,14 +11,14 @@
 from _savoryhaven.errors import Problem
 from _savoryhaven.errors import SavoryhavenError
 from _savoryhaven.errors import SettingsError
-from _savoryhaven.flows import Role
 from _savoryhaven.hooks import Clock
 from _savoryhaven.hooks import DatagramSocket
 from _savoryhaven.hooks import FlowProtocol
 from _savoryhaven.hooks import hookimpl
 from _savoryhaven.hooks import Platform
 from _savoryhaven.hooks import Transport
-from _savoryhaven.packets import Packet
+from _savoryhaven.tracking.flows import Role
+from _savoryhaven.tracking.packets import Packet
 
 __all__ = [
     'Clock',
--- a/packages/savoryhaven/tests/test_configuration.py
+++ b/packages/savoryhaven/tests/test_configuration.py
@@ -4,8 +4,8 @@
 
 from nose2.tools import params
 
-from _savoryhaven import changes
-from _savoryhaven import document
+from _savoryhaven.tracking import changes
+from _savoryhaven.tracking import document
 from savoryhaven_standins import fakes
 
 PLATFORM_UP_S = 1.0
--- a/packages/savoryhaven/tests/test_copies.py
+++ b/packages/savoryhaven/tests/test_copies.py
@@ -5,11 +5,11 @@
 from nose2.tools import params
 
 from _savoryhaven import addresses
-from _savoryhaven import copies
-from _savoryhaven import counters
-from _savoryhaven import former_owners
-from _savoryhaven import messages
-from _savoryhaven import placement
+from _savoryhaven.tracking import copies
+from _savoryhaven.tracking import counters
+from _savoryhaven.tracking import former_owners
+from _savoryhaven.tracking import messages
+from _savoryhaven.tracking import placement
 from savoryhaven_standins import fakes
 
 Count = counters.Count
--- a/packages/savoryhaven/tests/test_document.py
+++ b/packages/savoryhaven/tests/test_document.py
@@ -7,9 +7,9 @@
 from hypothesis import strategies
 from nose2.tools import params
 
-from _savoryhaven import checks
-from _savoryhaven import document
 from _savoryhaven import errors
+from _savoryhaven.tracking import checks
+from _savoryhaven.tracking import document
 from savoryhaven_standins import fakes
 
 
--- a/packages/savoryhaven/tests/test_flows.py
+++ b/packages/savoryhaven/tests/test_flows.py
@@ -6,9 +6,9 @@
 import hypothesis
 from hypothesis import strategies
 
-from _savoryhaven import flows
-from _savoryhaven import packets
-from _savoryhaven import placement
+from _savoryhaven.tracking import flows
+from _savoryhaven.tracking import packets
+from _savoryhaven.tracking import placement
 from savoryhaven_standins import fakes
 
 TARGET = placement.Tables(fakes.make_document()).by_name['team/one'].targets[0]
--- a/packages/savoryhaven/tests/test_loads.py
+++ b/packages/savoryhaven/tests/test_loads.py
@@ -5,8 +5,8 @@
 
 from nose2.tools import params
 
-from _savoryhaven import loads
-from _savoryhaven import placement
+from _savoryhaven.tracking import loads
+from _savoryhaven.tracking import placement
 from savoryhaven_standins import fakes
 
 TARGETS = placement.Tables(fakes.make_document()).by_name['team/one'].targets
--- a/packages/savoryhaven/tests/test_membership.py
+++ b/packages/savoryhaven/tests/test_membership.py
@@ -8,9 +8,9 @@
 from hypothesis import strategies
 from nose2.tools import params
 
-from _savoryhaven import membership
-from _savoryhaven import messages
-from _savoryhaven import settings
+from _savoryhaven.tracking import membership
+from _savoryhaven.tracking import messages
+from _savoryhaven.tracking import settings
 
 State = messages.MemberState
 TIMES = settings.MembershipSettings()
--- a/packages/savoryhaven/tests/test_messages.py
+++ b/packages/savoryhaven/tests/test_messages.py
@@ -7,11 +7,11 @@
 from hypothesis import strategies
 from nose2.tools import params
 
-from _savoryhaven import changes
 from _savoryhaven import errors
-from _savoryhaven import former_owners
-from _savoryhaven import messages
-from _savoryhaven import placement
+from _savoryhaven.tracking import changes
+from _savoryhaven.tracking import former_owners
+from _savoryhaven.tracking import messages
+from _savoryhaven.tracking import placement
 from savoryhaven_standins import fakes
 
 RECORD = messages.MemberRecord(
--- a/packages/savoryhaven/tests/test_packets.py
+++ b/packages/savoryhaven/tests/test_packets.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies
 from nose2.tools import params
 
-from _savoryhaven import packets
+from _savoryhaven.tracking import packets
 
 CALLER = bytes((10, 0, 0, 1))
 SERVICE = bytes((192, 0, 2, 1))
--- a/packages/savoryhaven/tests/test_placement.py
+++ b/packages/savoryhaven/tests/test_placement.py
@@ -5,8 +5,8 @@
 import hypothesis
 from hypothesis import strategies
 
-from _savoryhaven import document
-from _savoryhaven import placement
+from _savoryhaven.tracking import document
+from _savoryhaven.tracking import placement
 from savoryhaven_standins import fakes
 
 SETTINGS = hypothesis.settings(
--- a/packages/savoryhaven/tests/test_recovery.py
+++ b/packages/savoryhaven/tests/test_recovery.py
@@ -4,7 +4,7 @@
 
 from nose2.tools import params
 
-from _savoryhaven import counters
+from _savoryhaven.tracking import counters
 from savoryhaven_standins import fakes
 
 FLOWS = 200
--- a/packages/savoryhaven/tests/test_settings.py
+++ b/packages/savoryhaven/tests/test_settings.py
@@ -6,7 +6,7 @@
 from nose2.tools import params
 
 from _savoryhaven import errors
-from _savoryhaven import settings
+from _savoryhaven.tracking import settings
 
 GOOD: dict[str, typing.Any] = {
     'vm_id': 'a1',
