Refuse openings that could not be answered in time

Change: a route's service time is learned from answers; an opening whose answer is expected beyond its share of the target is reset at once.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 PACKAGES := packages/savoryhaven packages/savoryhaven-ctl \
-	packages/savoryhaven-standins
+	packages/savoryhaven-standins platform
+SOURCES := packages platform benchmarks
 
 .PHONY: demo test lint format benchmarks clean
 
@@ -22,13 +23,13 @@
 	PYTHONHASHSEED=0 LOGURU_LEVEL=ERROR $(BIN)/python -m nose2 -v $(ARGS)
 
 lint: $(READY)
-	$(BIN)/ruff format --check packages benchmarks
-	$(BIN)/ruff check packages benchmarks
-	$(BIN)/flake8 packages benchmarks
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/ruff check $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
 
 format: $(READY)
-	$(BIN)/ruff format packages benchmarks
-	$(BIN)/ruff check --fix packages benchmarks
+	$(BIN)/ruff format $(SOURCES)
+	$(BIN)/ruff check --fix $(SOURCES)
 
 benchmarks: $(READY)
 	$(BIN)/python benchmarks/run_all.py
--- a/packages/savoryhaven/src/_savoryhaven/datapath/flows.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/flows.py
@@ -24,7 +24,8 @@
 
     ``waiting_since`` is when the request at work was first seen, infinity
     while there is none. ``repeats`` counts the packets that the client sent
-    again since its upstream last answered.
+    again since its upstream last answered. ``load_met`` is the load per slot
+    that the request at work found.
     """
 
     state: upstreams.UpstreamState
@@ -34,6 +35,7 @@
     waiting_since: float = math.inf
     repeats: int = 0
     requests: int = 0
+    load_met: float = 0.0
 
 
 @attrs.frozen
@@ -47,6 +49,7 @@
     flow: ObservedFlow
     begins_request: bool = False
     latency_s: float = -1.0
+    load_met: float = 0.0
 
 
 class FlowTable:
@@ -76,13 +79,14 @@
             if flow is None:
                 return None
         flow.seen_at = now
+        load_met = flow.load_met
         latency_s = self._note_acknowledged(flow, packet, now)
         begins = packet.payload_bytes > 0 and self._note_data(
             flow, packet, now
         )
         if packet.closing:
             self.remove(packet.key, now)
-        return Observation(flow, begins, latency_s)
+        return Observation(flow, begins, latency_s, load_met)
 
     def remove(self, key: packets.FlowKey, now: float) -> None:
         """Forget a flow and its request."""
@@ -149,6 +153,7 @@
         flow.waiting_since = now
         flow.requests += 1
         flow.state.add_outstanding(1, now)
+        flow.load_met = flow.state.load / flow.state.upstream.slots
         return True
 
 
--- a/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
@@ -18,6 +18,7 @@
 from _savoryhaven.knowledge import routes as routes_module
 from _savoryhaven.operation import counters as counters_module
 from _savoryhaven.operation import events as events_module
+from _savoryhaven.placement import admission
 from _savoryhaven.placement import selection
 from _savoryhaven.placement import upstreams
 
@@ -65,6 +66,8 @@
         self._random: typing.Final = source
         self.flows: typing.Final = flows_module.FlowTable(FLOW_LIMIT)
         self.openings: typing.Final = openings_module.Openings(OPENING_LIMIT)
+        self._service_times: dict[records.Destination, admission.ServiceTime]
+        self._service_times = {}
         self.answer_latency: typing.Final = counters_module.Histogram()
         self.opening_latency: typing.Final = counters_module.Histogram()
 
@@ -139,6 +142,9 @@
         if seen.latency_s >= 0:
             self._counters[_Count.ANSWERED] += 1
             self.answer_latency.record(seen.latency_s)
+            self._service_times.setdefault(
+                packet.key[2:], admission.ServiceTime()
+            ).record(seen.latency_s, seen.load_met)
         if seen.begins_request:
             self._events.emit(
                 'request_forwarded',
@@ -223,10 +229,47 @@
         )
         match choice:
             case selection.Chosen():
-                self._open(packet, route, choice, opening, now)
+                self._admit(packet, route, choice, opening, now)
             case selection.NoUpstream(reason):
                 self._decide_without_upstream(packet, service, reason, now)
 
+    def _admit(
+        self,
+        packet: packets.FlowPacket,
+        route: records.Route,
+        choice: selection.Chosen,
+        opening: openings_module.Opening | None,
+        now: float,
+    ) -> None:
+        """Open a flow, unless its answers could not come in time.
+
+        A copy of an opening has been admitted before.
+        """
+        learned = self._service_times.get(route.destination)
+        if opening is not None or learned is None or not learned.known:
+            self._open(packet, route, choice, opening, now)
+            return
+        state = choice.state
+        decision = admission.decide_admission(
+            admission.make_demand(
+                route.target_latency_s,
+                route.priority,
+                self._routes.most_urgent,
+            ),
+            load=state.load,
+            slots=state.upstream.slots,
+            service_s=learned.average_s,
+        )
+        match decision:
+            case admission.Admitted():
+                self._open(packet, route, choice, opening, now)
+            case admission.Refused(expected_s):
+                self._refuse(
+                    packet,
+                    f'an answer is expected after {expected_s:.3f} s',
+                    now,
+                )
+
     def _open(
         self,
         packet: packets.FlowPacket,
--- a/packages/savoryhaven/src/_savoryhaven/operation/events.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/events.py
@@ -15,6 +15,7 @@
 import typing
 
 import attrs
+
 from _savoryhaven.operation import counters as counters_module
 
 if typing.TYPE_CHECKING:
--- a/packages/savoryhaven/src/_savoryhaven/operation/launch.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/launch.py
@@ -10,9 +10,9 @@
 
 from _savoryhaven import clock
 from _savoryhaven import errors
-from _savoryhaven import plugins
 from _savoryhaven.operation import node
 from _savoryhaven.operation import settings as settings_module
+from _savoryhaven import plugins
 
 EXIT_FAILED = 1
 EXIT_USAGE = 2
--- a/packages/savoryhaven/src/_savoryhaven/operation/node.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/node.py
@@ -9,10 +9,10 @@
 
 
 from _savoryhaven import addresses
-from _savoryhaven import errors
-from _savoryhaven import hooks
 from _savoryhaven.datapath import forwarder as forwarder_module
 from _savoryhaven.datapath import packets
+from _savoryhaven import errors
+from _savoryhaven import hooks
 from _savoryhaven.knowledge import catalogue as catalogue_module
 from _savoryhaven.knowledge import gossip as gossip_module
 from _savoryhaven.knowledge import members as members_module
--- /dev/null
+++ b/packages/savoryhaven/src/_savoryhaven/placement/admission.py
@@ -0,0 +1,93 @@
+"""Refuses new flows that could not be served in time.
+
+Under overload a queue that is always full makes every answer late, so all
+callers lose. Refusing the openings beyond what upstreams can answer in time
+keeps the rest in time; a refused caller knows at once that nothing has run
+and may come back. Less urgent routes are refused first.
+
+    >>> decide_admission(Demand(0.25, 1.0), load=2.0, slots=3, service_s=0.05)
+    Admitted(expected_s=0.05)
+"""
+
+import attrs
+
+# Answers until a route's service time is known well enough to refuse by it.
+LEARNING_ANSWERS = 20
+# Share of a new answer in the average service time: some thirty answers.
+AVERAGE_SHARE = 0.03
+# An answer that is expected at its target comes in time only half the time;
+# queues of a few requests vary by about a third of their length.
+URGENT_SHARE = 0.85
+# Each step of urgency less leaves so much less of the target.
+URGENCY_STEP = 0.15
+LEAST_SHARE = 0.5
+
+
+@attrs.frozen
+class Demand:
+    """What a route's callers need: an answer in time, and how urgently.
+
+    ``share`` is the part of the target up to which flows are admitted.
+    """
+
+    target_s: float
+    share: float
+
+
+@attrs.frozen
+class Admitted:
+    """The flow may open."""
+
+    expected_s: float
+
+
+@attrs.frozen
+class Refused:
+    """The flow could not be served in time."""
+
+    expected_s: float
+
+
+Admission = Admitted | Refused
+
+
+def make_demand(target_s: float, priority: int, most_urgent: int) -> Demand:
+    """Return the demand of a route; priority 0 is the most urgent of all."""
+    steps = max(0, priority - most_urgent)
+    return Demand(
+        target_s, max(LEAST_SHARE, URGENT_SHARE - steps * URGENCY_STEP)
+    )
+
+
+def decide_admission(
+    demand: Demand, *, load: float, slots: int, service_s: float
+) -> Admission:
+    """Decide about a flow to an upstream with requests at work.
+
+    A new request waits until all but ``slots - 1`` of the ``load`` requests
+    before it are answered, ``slots`` at a time, ``service_s`` each.
+    """
+    expected_s = service_s * max(1.0, (load + 1.0) / max(1, slots))
+    if expected_s > demand.target_s * demand.share:
+        return Refused(expected_s)
+    return Admitted(expected_s)
+
+
+@attrs.define(eq=False)
+class ServiceTime:
+    """How long upstreams work on one request of a route, on average."""
+
+    answers: int = 0
+    average_s: float = 0.0
+
+    def record(self, latency_s: float, load_per_slot: float) -> None:
+        """Note an answer, and the load that its request met."""
+        sample_s = latency_s / max(1.0, load_per_slot)
+        self.answers += 1
+        share = max(AVERAGE_SHARE, 1.0 / self.answers)
+        self.average_s += (sample_s - self.average_s) * share
+
+    @property
+    def known(self) -> bool:
+        """Return whether enough answers were seen to decide by."""
+        return self.answers >= LEARNING_ANSWERS
--- a/packages/savoryhaven/src/_savoryhaven/placement/selection.py
+++ b/packages/savoryhaven/src/_savoryhaven/placement/selection.py
@@ -134,9 +134,8 @@
     """Return the load per slot that a new request would meet."""
     now = circumstances.now
     state.update_averages(now)
-    moment = state.at_work + state.reported_load
     lasting = state.lasting_load + state.reported_lasting
-    load = moment + LASTING_WEIGHT * lasting
+    load = state.load + LASTING_WEIGHT * lasting
     if now < state.warm_at:
         load = (load + 1.0) * COLD_FACTOR - 1.0
     cost = load / max(1, state.upstream.slots)
--- a/packages/savoryhaven/src/_savoryhaven/placement/upstreams.py
+++ b/packages/savoryhaven/src/_savoryhaven/placement/upstreams.py
@@ -48,6 +48,11 @@
         """Return how many requests of this VM the upstream may work on."""
         return self.outstanding + self.opening
 
+    @property
+    def load(self) -> float:
+        """Return the requests at work, those of peers included."""
+        return self.outstanding + self.opening + self.reported_load
+
     def update_averages(self, now: float) -> None:
         """Bring the averages up to a time; call before the load changes."""
         elapsed = now - self.averaged_at
--- /dev/null
+++ b/packages/savoryhaven/tests/test_catalogue.py
@@ -0,0 +1,160 @@
+"""The catalogue: newer descriptions hold, whoever tells them."""
+
+import math
+
+from _savoryhaven.knowledge import catalogue as catalogue_module
+from _savoryhaven.knowledge import records
+from savoryhaven_standins import tagged
+
+make = tagged.make_upstream
+
+
+def make_catalogue(
+    *upstreams: records.Upstream, revision: int = 100
+) -> catalogue_module.Catalogue:
+    """Return a catalogue as of time zero."""
+    catalogue = catalogue_module.Catalogue(tagged.PlainCodec())
+    catalogue.confirm(0.0, 0.0)
+    catalogue.take_snapshot(
+        records.UpstreamSnapshot(revision=revision, upstreams=upstreams), 0.0
+    )
+    return catalogue
+
+
+def list_ids(catalogue: catalogue_module.Catalogue) -> set[str]:
+    return {found.upstream_id for found in catalogue.list_present()}
+
+
+def test_an_older_description_changes_nothing() -> None:
+    catalogue = make_catalogue(make(1, revision=9, draining=True))
+    changes = records.UpstreamChanges(
+        since=100, revision=101, present=(make(1, revision=5),)
+    )
+    assert catalogue.take_changes(changes, 1.0) == []
+    assert catalogue.list_present()[0].draining
+
+
+def test_a_removed_upstream_does_not_come_back_by_old_news() -> None:
+    catalogue = make_catalogue(make(1, revision=9))
+    catalogue.take_changes(
+        records.UpstreamChanges(
+            since=100, revision=105, removed=(make(1).upstream_id,)
+        ),
+        1.0,
+    )
+    late = records.UpstreamChanges(
+        since=100, revision=105, present=(make(1, revision=104),)
+    )
+    catalogue.take_changes(late, 1.1)
+    assert not list_ids(catalogue)
+    anew = records.UpstreamChanges(
+        since=105, revision=107, present=(make(1, revision=106),)
+    )
+    catalogue.take_changes(anew, 1.2)
+    assert list_ids(catalogue) == {make(1).upstream_id}
+
+
+def test_changes_that_don_t_join_are_not_taken() -> None:
+    catalogue = make_catalogue(make(1))
+    gap = records.UpstreamChanges(since=150, revision=160)
+    assert catalogue.take_changes(gap, 1.0) is None
+    assert catalogue.revision == 100
+
+
+def test_removed_upstreams_keep_their_tags_for_a_flow_s_life() -> None:
+    catalogue = make_catalogue(make(1), make(2))
+    catalogue.take_snapshot(
+        records.UpstreamSnapshot(revision=101, upstreams=(make(2),)), 10.0
+    )
+    catalogue.expire(70.0)
+    assert catalogue.by_tag[1].removed_at == 10.0
+    catalogue.expire(76.0)
+    assert 1 not in catalogue.by_tag
+
+
+def test_entries_that_lapse_in_an_outage_are_kept_until_it_is_over() -> None:
+    catalogue = make_catalogue(make(1), make(2))
+    catalogue.confirm(6.0, 6.1)
+    (change,) = catalogue.take_snapshot(
+        records.UpstreamSnapshot(revision=101, upstreams=(make(2),)), 6.1
+    )
+    assert change == catalogue_module.Removed(make(1), lapsed=True)
+    assert catalogue.by_tag[1].lapsed
+    catalogue.confirm(8.0, 8.0)
+    assert not catalogue.expire(8.0)
+    catalogue.confirm(8.9, 8.9)
+    assert catalogue.expire(8.9) == [make(1)]
+    assert not catalogue.by_tag[1].lapsed
+
+
+def test_an_entry_that_comes_back_after_a_lapse_is_used_again() -> None:
+    catalogue = make_catalogue(make(1))
+    catalogue.confirm(6.0, 6.1)
+    catalogue.take_snapshot(
+        records.UpstreamSnapshot(revision=101, upstreams=()), 6.1
+    )
+    back = make(1, revision=103)
+    catalogue.take_changes(
+        records.UpstreamChanges(since=101, revision=103, present=(back,)), 7.0
+    )
+    assert catalogue.by_tag[1].removed_at == math.inf
+    assert not catalogue.by_tag[1].lapsed
+
+
+def test_a_draining_upstream_does_not_lapse() -> None:
+    catalogue = make_catalogue(make(1, draining=True))
+    catalogue.confirm(6.0, 6.1)
+    (change,) = catalogue.take_snapshot(
+        records.UpstreamSnapshot(revision=101, upstreams=()), 6.1
+    )
+    assert not change.lapsed
+
+
+def test_a_restart_under_the_same_id_clears_what_was_seen() -> None:
+    catalogue = make_catalogue(make(1, revision=9))
+    catalogue.by_tag[1].note_failure(0.0, 0.1)
+    catalogue.take_changes(
+        records.UpstreamChanges(
+            since=100,
+            revision=110,
+            present=(make(1, revision=110, started_ms=2),),
+        ),
+        1.0,
+    )
+    assert catalogue.by_tag[1].failures == 0
+
+
+def test_an_id_at_another_address_is_another_upstream() -> None:
+    catalogue = make_catalogue(make(1, revision=9))
+    before = catalogue.by_tag[1]
+    moved = make(1, revision=110, service='vault', host='10.9.9.9')
+    catalogue.take_changes(
+        records.UpstreamChanges(since=100, revision=110, present=(moved,)),
+        1.0,
+    )
+    assert catalogue.by_tag[1] is not before
+    assert catalogue.list_service('desk') == []
+    assert catalogue.by_tag[1].sockaddr == ('10.9.9.9', 8080)
+
+
+def test_of_two_upstreams_with_one_tag_the_same_one_opens_everywhere() -> None:
+    low = make(1)
+    high = make(2, wire_id=0xCD_0000_0001)
+    assert low.tag == high.tag
+    for order in ((low, high), (high, low)):
+        catalogue = make_catalogue(*order)
+        open_at = [
+            state.upstream.upstream_id
+            for state in catalogue.list_states()
+            if not state.tag_taken
+        ]
+        assert open_at == [low.upstream_id]
+        assert catalogue.by_tag[low.tag].upstream == low
+
+
+def test_the_digest_tells_catalogues_apart() -> None:
+    one = make_catalogue(make(1), make(2))
+    two = make_catalogue(make(2), make(1))
+    assert one.digest == two.digest
+    other = make_catalogue(make(1), make(2, revision=99))
+    assert one.digest != other.digest
--- /dev/null
+++ b/packages/savoryhaven/tests/test_forwarder.py
@@ -0,0 +1,244 @@
+"""Packets of flows: openings, copies, tags, resets and silence."""
+
+import json
+
+from _savoryhaven.operation import counters
+from savoryhaven_standins import tagged
+
+Count = counters.Count
+
+
+def make_vm(*upstreams: int) -> tagged.Vm:
+    """Return a VM that knows some upstreams."""
+    vm = tagged.Vm()
+    vm.learn([tagged.make_upstream(number) for number in upstreams])
+    return vm
+
+
+def open_flow(vm: tagged.Vm, client_port: int = 40_001) -> int:
+    """Open a flow and return its tag."""
+    vm.receive(tagged.make_packet(client_port))
+    raw, _ = vm.take_sent()[-1]
+    tag = json.loads(raw[8:])['tag']
+    vm.receive(
+        tagged.make_packet(client_port, tag=tag, sequence=101, acknowledged=1)
+    )
+    vm.take_sent()
+    return tag
+
+
+def test_an_opening_gets_its_upstreams_tag_and_id() -> None:
+    vm = make_vm(7)
+    vm.receive(tagged.make_packet())
+    ((raw, address),) = vm.take_sent()
+    assert address == ('10.9.0.7', 8080)
+    assert raw[:8] == (0xAB_0000_0007).to_bytes(8)
+    assert json.loads(raw[8:])['tag'] == 7
+
+
+def test_any_vm_places_a_packet_by_its_tag() -> None:
+    tag = open_flow(make_vm(1, 2, 3))
+    other = make_vm(1, 2, 3)
+    other.receive(tagged.make_packet(tag=tag, payload_bytes=9))
+    ((_, address),) = other.take_sent()
+    assert address == (f'10.9.0.{tag}', 8080)
+
+
+def test_a_copy_that_comes_at_once_goes_to_the_same_upstream() -> None:
+    vm = make_vm(1, 2, 3)
+    vm.receive(tagged.make_packet())
+    vm.clock.now += 0.05
+    vm.receive(tagged.make_packet())
+    first, second = vm.take_sent()
+    assert first == second
+    assert vm.counters[Count.REPEATED] == 1
+
+
+def test_a_copy_after_silence_goes_to_another_upstream() -> None:
+    vm = make_vm(1, 2, 3)
+    reached = set()
+    for wait in (0.2, 0.4, 0.4):
+        vm.receive(tagged.make_packet())
+        reached.add(vm.take_sent()[-1][1])
+        vm.clock.now += wait
+    assert len(reached) == 3
+    assert vm.counters[Count.MOVED] == 2
+
+
+def test_openings_avoid_an_upstream_that_did_not_answer() -> None:
+    vm = make_vm(1, 2)
+    vm.receive(tagged.make_packet(1))
+    silent = vm.take_sent()[-1][1]
+    vm.clock.now += 0.2
+    vm.receive(tagged.make_packet(1))
+    vm.take_sent()
+    for port in range(2, 40):
+        vm.clock.now += 0.01
+        open_flow_at = tagged.make_packet(port)
+        vm.receive(open_flow_at)
+    reached = [address for _, address in vm.take_sent()]
+    assert silent not in reached
+
+
+def test_a_late_answer_to_a_copy_does_not_move_the_flow() -> None:
+    vm = make_vm(1, 2)
+    vm.receive(tagged.make_packet())
+    first = json.loads(vm.take_sent()[-1][0][8:])['tag']
+    vm.clock.now += 0.2
+    vm.receive(tagged.make_packet())
+    second = json.loads(vm.take_sent()[-1][0][8:])['tag']
+    assert first != second
+    for tag, sequence in ((second, 101), (first, 102)):
+        vm.receive(
+            tagged.make_packet(
+                tag=tag, sequence=sequence, acknowledged=1, payload_bytes=1
+            )
+        )
+        ((_, address),) = vm.take_sent()
+        assert address == (f'10.9.0.{second}', 8080)
+
+
+def test_an_unknown_route_is_refused_while_knowledge_is_fresh() -> None:
+    vm = make_vm(1)
+    vm.receive(tagged.make_packet(port=99))
+    assert len(vm.resets) == 1
+    assert vm.counters[Count.REFUSED] == 1
+    vm.clock.now += 5.0
+    vm.receive(tagged.make_packet(2, port=99))
+    assert len(vm.resets) == 1
+    assert vm.counters[Count.DROPPED_UNINFORMED] == 1
+
+
+def test_a_vm_that_knows_nothing_drops_and_never_resets() -> None:
+    vm = tagged.Vm()
+    vm.receive(tagged.make_packet())
+    vm.receive(tagged.make_packet(tag=5, payload_bytes=9))
+    assert not vm.sent
+    assert not vm.resets
+
+
+def test_a_service_without_upstreams_is_refused_at_once() -> None:
+    vm = make_vm(1)
+    vm.receive(tagged.make_packet(port=tagged.VAULT_PORT))
+    assert len(vm.resets) == 1
+
+
+def test_a_draining_upstream_keeps_its_flows_and_gets_no_others() -> None:
+    vm = make_vm(1)
+    tag = open_flow(vm)
+    vm.learn(
+        [
+            tagged.make_upstream(1, draining=True, revision=50),
+            tagged.make_upstream(2),
+        ],
+        revision=101,
+    )
+    vm.receive(tagged.make_packet(tag=tag, sequence=102, payload_bytes=9))
+    assert vm.take_sent()[-1][1] == ('10.9.0.1', 8080)
+    for port in range(50, 60):
+        vm.receive(tagged.make_packet(port))
+        assert vm.take_sent()[-1][1] == ('10.9.0.2', 8080)
+
+
+def test_a_flow_ends_at_once_when_its_drained_upstream_has_left() -> None:
+    vm = make_vm(1, 2)
+    tag = open_flow(vm)
+    vm.learn(
+        [
+            tagged.make_upstream(n, draining=n == tag, revision=50 + n)
+            for n in (1, 2)
+        ],
+        revision=101,
+    )
+    vm.learn([tagged.make_upstream(3 - tag, revision=60)], revision=102)
+    vm.receive(
+        tagged.make_packet(
+            tag=tag, sequence=102, acknowledged=1, payload_bytes=9
+        )
+    )
+    assert len(vm.resets) == 1
+    assert not vm.take_sent()
+
+
+def test_a_flow_of_a_vanished_upstream_ends_once_it_is_silent() -> None:
+    vm = make_vm(1, 2)
+    tag = open_flow(vm)
+    vm.learn([tagged.make_upstream(3 - tag, revision=60)], revision=102)
+    request = tagged.make_packet(
+        tag=tag, sequence=102, acknowledged=1, payload_bytes=9
+    )
+    vm.receive(request)
+    assert not vm.resets
+    assert len(vm.take_sent()) == 1
+    vm.clock.now += 0.2
+    vm.receive(request)
+    assert len(vm.resets) == 1
+
+
+def test_a_vanished_upstream_that_answers_keeps_its_flows() -> None:
+    vm = make_vm(1, 2)
+    tag = open_flow(vm)
+    vm.learn([tagged.make_upstream(3 - tag, revision=60)], revision=102)
+    for step in range(5):
+        vm.clock.now += 0.3
+        vm.receive(
+            tagged.make_packet(
+                tag=tag,
+                sequence=102 + step,
+                acknowledged=1 + step,
+                payload_bytes=9,
+            )
+        )
+    assert not vm.resets
+    assert len(vm.take_sent()) == 5
+
+
+def test_answers_are_seen_by_what_clients_acknowledge() -> None:
+    vm = make_vm(1)
+    tag = open_flow(vm)
+    (state,) = vm.catalogue.list_states()
+    vm.receive(
+        tagged.make_packet(
+            tag=tag, sequence=102, acknowledged=1, payload_bytes=9
+        )
+    )
+    assert state.outstanding == 1
+    vm.clock.now += 0.07
+    vm.receive(tagged.make_packet(tag=tag, sequence=111, acknowledged=900))
+    assert state.outstanding == 0
+    assert vm.counters[Count.ANSWERED] == 1
+    assert abs(vm.forwarder.answer_latency.total - 0.07) < 1e-6
+
+
+def test_requests_without_answer_stop_counting_as_load() -> None:
+    vm = make_vm(1)
+    tag = open_flow(vm)
+    (state,) = vm.catalogue.list_states()
+    vm.receive(
+        tagged.make_packet(
+            tag=tag, sequence=102, acknowledged=1, payload_bytes=9
+        )
+    )
+    vm.clock.now += 1.6
+    vm.forwarder.expire(vm.clock.now)
+    assert state.outstanding == 0
+    vm.clock.now += 15.1
+    vm.forwarder.expire(vm.clock.now)
+    assert len(vm.forwarder.flows) == 0
+
+
+def test_openings_that_nothing_follows_stop_counting_as_load() -> None:
+    vm = make_vm(1)
+    vm.receive(tagged.make_packet())
+    (state,) = vm.catalogue.list_states()
+    assert state.opening == 1
+    vm.clock.now += 2.0
+    vm.forwarder.expire(vm.clock.now)
+    assert state.opening == 0
+
+
+def test_bytes_that_are_no_packet_are_counted() -> None:
+    vm = make_vm(1)
+    vm.receive(b'nothing')
+    assert vm.counters[Count.DROPPED_MALFORMED] == 1
+    assert not vm.sent
--- /dev/null
+++ b/packages/savoryhaven/tests/test_selection.py
@@ -0,0 +1,136 @@
+"""Which upstream takes a new flow, and when it is tried again."""
+
+import math
+import random
+
+from _savoryhaven.placement import selection
+from _savoryhaven.placement import upstreams
+from savoryhaven_standins import tagged
+
+NOW = 1_000.0
+
+
+def choose(
+    states: list[upstreams.UpstreamState],
+    *,
+    now: float = NOW,
+    excluded: frozenset[int] = frozenset(),
+) -> selection.Choice:
+    """Choose for a VM of the domain ``a``."""
+    return selection.choose_upstream(
+        states,
+        selection.Circumstances(
+            now=now,
+            failure_domain='a',
+            excluded=excluded,
+            source=random.Random(1),
+        ),
+    )
+
+
+def test_the_least_loaded_upstream_by_slots_is_chosen() -> None:
+    states = [
+        tagged.make_state(1, outstanding=3, slots=2),
+        tagged.make_state(2, outstanding=4, slots=8),
+        tagged.make_state(3, outstanding=2, slots=2),
+    ]
+    assert choose(states).state is states[1]
+
+
+def test_what_peers_report_counts() -> None:
+    states = [tagged.make_state(1), tagged.make_state(2, outstanding=1)]
+    states[0].reported_load = 3.0
+    assert choose(states).state is states[1]
+
+
+def test_the_same_domain_is_chosen_among_equals() -> None:
+    states = [
+        tagged.make_state(1, failure_domain='b'),
+        tagged.make_state(2, failure_domain='a'),
+    ]
+    assert choose(states).state is states[1]
+
+
+def test_a_cold_upstream_counts_as_loaded() -> None:
+    states = [tagged.make_state(1), tagged.make_state(2)]
+    states[0].warm_at = NOW + 1
+    assert choose(states).state is states[1]
+
+
+def test_draining_and_removed_upstreams_get_nothing() -> None:
+    states = [tagged.make_state(1, draining=True), tagged.make_state(2)]
+    states[1].removed_at = NOW - 1
+    assert isinstance(choose(states), selection.NoUpstream)
+
+
+def test_an_upstream_whose_entry_lapsed_with_the_store_is_used() -> None:
+    state = tagged.make_state(1)
+    state.removed_at = NOW - 1
+    state.lapsed = True
+    assert choose([state]).state is state
+
+
+def test_openings_without_answer_make_a_suspect() -> None:
+    states = [tagged.make_state(1), tagged.make_state(2, outstanding=9)]
+    states[0].note_failure(NOW - 0.2, NOW)
+    states[0].note_failure(NOW - 0.2, NOW)
+    assert choose(states).state is states[1]
+    assert choose(states, now=NOW + 3.9).state is states[1]
+    # After that the store has spoken, or the upstream is tried again.
+    states[1].update_averages(NOW + 4.1)
+    assert choose(states, now=NOW + 4.1).state is states[0]
+
+
+def test_a_later_answer_clears_a_suspect() -> None:
+    state = tagged.make_state(1)
+    state.note_answer(NOW)
+    state.note_failure(NOW - 0.2, NOW + 0.1)
+    assert not selection.is_suspect(state, NOW + 0.1)
+    state.note_failure(NOW + 0.1, NOW + 0.3)
+    assert selection.is_suspect(state, NOW + 0.3)
+    state.note_answer(NOW + 0.4)
+    assert not selection.is_suspect(state, NOW + 0.4)
+
+
+def test_one_lost_packet_is_tried_again_soon_and_once() -> None:
+    states = [tagged.make_state(1), tagged.make_state(2, outstanding=1)]
+    states[0].note_failure(NOW - 0.2, NOW)
+    assert choose(states, now=NOW + 0.1).state is states[1]
+    due = NOW + selection.RETRY_INTERVAL_S + 0.001
+    assert choose(states, now=due).state is states[0]
+    assert choose(states, now=due + 0.1).state is states[1]
+
+
+def test_copies_of_an_opening_go_to_other_upstreams() -> None:
+    states = [tagged.make_state(1), tagged.make_state(2, outstanding=9)]
+    tried = frozenset({states[0].upstream.tag})
+    assert choose(states, excluded=tried).state is states[1]
+
+
+def test_with_suspects_only_one_of_them_is_chosen() -> None:
+    states = [tagged.make_state(1), tagged.make_state(2)]
+    for state in states:
+        state.note_failure(NOW - 0.2, NOW)
+    assert isinstance(choose(states), selection.Chosen)
+
+
+def test_averages_follow_the_load() -> None:
+    state = tagged.make_state(1)
+    state.add_outstanding(4, NOW)
+    state.update_averages(NOW + upstreams.RECENT_LOAD_S)
+    assert math.isclose(state.recent_load, 4 * (1 - math.exp(-1)))
+    state.add_outstanding(-4, NOW + 1)
+    state.update_averages(NOW + 100)
+    assert state.lasting_load < 0.01
+
+
+def test_new_flows_spread_by_slots() -> None:
+    """Openings that stay open spread like the slots, within a tenth."""
+    states = [tagged.make_state(n, slots=1 + n % 3) for n in range(9)]
+    for number in range(900):
+        choice = choose(states, now=NOW + number * 0.001)
+        choice.state.add_outstanding(1, NOW + number * 0.001)
+    slots = sum(state.upstream.slots for state in states)
+    for state in states:
+        fair = 900 * state.upstream.slots / slots
+        assert abs(state.outstanding - fair) <= 0.1 * fair
