Add a stand-in of the users' platform and tests of real VMs before it

Found by its tests: the log level of the environment (LOGURU_LEVEL) silenced the structured events; they now name theirs.

--- /dev/null
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/hosts.py
@@ -0,0 +1,231 @@
+"""Hosts: they hold flows, run requests and answer clients directly."""
+
+import asyncio
+import itertools
+import socket
+import typing
+
+import attrs
+
+from savoryhaven_standins.users_platform import store as store_module
+from savoryhaven_standins.users_platform import wire
+
+WORK_S = 0.01
+RETRANSMIT_S = 0.2
+RETRANSMISSIONS = 8
+ANSWER = b'x' * 3_000
+_ISN = 5_000
+_counter = itertools.count(1)
+
+
+@attrs.define(eq=False)
+class _Flow:
+    client: tuple[int, int]
+    service: tuple[int, int]
+    echo: int
+    expected: int
+    open: bool = False
+    requests: dict[int, int] = attrs.field(factory=dict)
+    sent: int = _ISN + 1
+    acknowledged: int = _ISN + 1
+
+
+@attrs.define
+class Ledger:
+    """What all hosts saw, for the checks of a test."""
+
+    # How often each request ran.
+    ran: dict[str, int] = attrs.field(factory=dict)
+    # Flows that stand at a living host, by client and service.
+    open_at: dict[tuple, 'Host'] = attrs.field(factory=dict)
+    openings: list[tuple[float, 'Host', tuple[int, int]]] = attrs.field(
+        factory=list
+    )
+    strays: list[str] = attrs.field(factory=list)
+
+
+class Host:
+    """One host of a service, at an address of its own."""
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        zone: str,
+        address: tuple[str, int],
+        client_port: int,
+        store: store_module.MetadataStore,
+        ledger: Ledger,
+        clients: typing.Mapping[int, str],
+    ) -> None:
+        number = next(_counter)
+        self.name = f'i-{0x5A000000 + number * 0x1003:08x}'
+        self.service = service
+        self.address = address
+        self.draining_since: float | None = None
+        self._zone = zone
+        self._client_port = client_port
+        self._store = store
+        self._ledger = ledger
+        self._clients = clients
+        self._flows: dict[tuple, _Flow] = {}
+        self._sequence = 0
+        self._socket: socket.socket | None = None
+        self._tasks: set[asyncio.Task] = set()
+
+    @property
+    def alive(self) -> bool:
+        """Return whether the host serves."""
+        return self._socket is not None
+
+    async def start(self) -> None:
+        """Bind, and register in the store."""
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        self._socket.bind(self.address)
+        asyncio.get_running_loop().add_reader(self._socket, self._read)
+        await self.register()
+
+    async def register(self) -> None:
+        """Write the entry."""
+        self._sequence += 1
+        draining = self.draining_since is not None
+        host, port = self.address
+        await self._store.put(
+            'servers',
+            self.name,
+            {
+                'service': self.service,
+                'address': f'{host}:{port}',
+                'zone': self._zone,
+                'version': 'v1',
+                'capacity_slots': 3,
+                'state': 'draining' if draining else 'ready',
+                'cold_remaining_ms': 0,
+                'sequence_number': self._sequence,
+                'born': 1,
+            },
+        )
+
+    async def drain(self) -> None:
+        """Say that the host leaves; it goes on serving."""
+        self.draining_since = asyncio.get_running_loop().time()
+        await self.register()
+
+    def crash(self) -> None:
+        """End without a word; flows are lost."""
+        if self._socket is None:
+            return
+        asyncio.get_running_loop().remove_reader(self._socket)
+        self._socket.close()
+        self._socket = None
+        for key in self._flows:
+            if self._ledger.open_at.get(key) is self:
+                del self._ledger.open_at[key]
+        self._flows.clear()
+        for task in self._tasks:
+            task.cancel()
+
+    async def leave(self) -> None:
+        """End as planned: the entry goes with the host."""
+        self.crash()
+        await self._store.delete('servers', self.name)
+
+    def _read(self) -> None:
+        while self._socket is not None:
+            try:
+                raw = self._socket.recv(2_048)
+            except BlockingIOError:
+                return
+            wanted = int.from_bytes(raw[:8])
+            if wanted not in (0, int(self.name.removeprefix('i-'), 16)):
+                continue
+            self._receive(wire.decode(raw[8:]))
+
+    def _receive(self, segment: wire.Segment) -> None:
+        key = (segment.source, segment.destination)
+        flow = self._flows.get(key)
+        if segment.flags & wire.SYN:
+            self._open(key, segment)
+        elif flow is None:
+            holder = self._ledger.open_at.get(key)
+            if holder is not None and holder is not self:
+                self._ledger.strays.append(f'{key} at {self.name}')
+            self._reply(segment, wire.RST, 0, b'')
+        elif segment.flags & wire.RST:
+            self._end(key)
+        else:
+            self._continue(key, flow, segment)
+
+    def _open(self, key: tuple, segment: wire.Segment) -> None:
+        now = asyncio.get_running_loop().time()
+        self._ledger.openings.append((now, self, segment.destination))
+        self._flows[key] = _Flow(
+            segment.source,
+            segment.destination,
+            segment.echo,
+            segment.sequence + 1,
+        )
+        self._send(self._flows[key], wire.SYN | wire.ACK, _ISN, b'')
+
+    def _continue(
+        self, key: tuple, flow: _Flow, segment: wire.Segment
+    ) -> None:
+        flow.open = True
+        flow.echo = segment.echo
+        self._ledger.open_at[key] = self
+        flow.acknowledged = max(flow.acknowledged, segment.acknowledged)
+        if segment.data and segment.sequence not in flow.requests:
+            flow.requests[segment.sequence] = 1
+            flow.expected = segment.sequence + len(segment.data)
+            task = asyncio.create_task(self._run(flow, segment))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        if segment.flags & wire.FIN:
+            self._send(flow, wire.FIN | wire.ACK, flow.sent, b'')
+            self._end(key)
+
+    def _end(self, key: tuple) -> None:
+        self._flows.pop(key, None)
+        if self._ledger.open_at.get(key) is self:
+            del self._ledger.open_at[key]
+
+    async def _run(self, flow: _Flow, segment: wire.Segment) -> None:
+        """Run a request, and send its answer until it is acknowledged."""
+        name = segment.data.decode().rpartition(': ')[2].strip()
+        self._ledger.ran[name] = self._ledger.ran.get(name, 0) + 1
+        await asyncio.sleep(WORK_S)
+        first = flow.sent
+        answer = name.encode() + b' ' + ANSWER
+        flow.sent = first + len(answer)
+        for attempt in range(RETRANSMISSIONS):
+            for start in range(0, len(answer), wire.PAYLOAD_BYTES):
+                if first + start >= flow.acknowledged:
+                    piece = answer[start : start + wire.PAYLOAD_BYTES]
+                    self._send(flow, wire.ACK, first + start, piece)
+            await asyncio.sleep(min(1.6, RETRANSMIT_S * 2**attempt))
+            if flow.acknowledged >= flow.sent:
+                return
+
+    def _reply(
+        self, segment: wire.Segment, flags: int, sequence: int, data: bytes
+    ) -> None:
+        flow = _Flow(segment.source, segment.destination, segment.echo, 0)
+        self._send(flow, flags, sequence, data)
+
+    def _send(
+        self, flow: _Flow, flags: int, sequence: int, data: bytes
+    ) -> None:
+        host = self._clients.get(flow.client[0])
+        if host is None or self._socket is None:
+            return
+        answer = wire.Segment(
+            flags,
+            sequence,
+            flow.expected,
+            flow.echo,
+            flow.service,
+            flow.client,
+            data,
+        )
+        self._socket.sendto(answer.encode(), (host, self._client_port))
--- /dev/null
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/proxy.py
@@ -0,0 +1,90 @@
+"""A loopback proxy that spoils connections between a VM and the store."""
+
+import asyncio
+import enum
+
+DELAY_S = 0.3
+
+
+class Link(enum.Enum):
+    """What happens to bytes on their way."""
+
+    GOOD = 'good'
+    DELAYED = 'delayed'
+    RESET = 'reset'
+    # Requests arrive, answers don't.
+    ONE_WAY = 'one way'
+    SILENT = 'silent'
+
+
+class Proxy:
+    """Passes connections on to one address."""
+
+    def __init__(self, target: tuple[str, int]) -> None:
+        self.link = Link.GOOD
+        self._target = target
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def open(self, host: str, port: int) -> None:
+        """Bind an address."""
+        self._server = await asyncio.start_server(self._serve, host, port)
+
+    def close(self) -> None:
+        """Close all connections."""
+        if self._server is not None:
+            self._server.close()
+        self.reset()
+
+    def reset(self) -> None:
+        """Reset all connections."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            onward = await asyncio.open_connection(*self._target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, onward[1]}
+        try:
+            await asyncio.gather(
+                self._pass(reader, onward[1], answers=False),
+                self._pass(onward[0], writer, answers=True),
+            )
+        finally:
+            self._writers -= {writer, onward[1]}
+            writer.transport.abort()
+            onward[1].transport.abort()
+
+    async def _pass(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        answers: bool,
+    ) -> None:
+        while True:
+            try:
+                data = await reader.read(65_536)
+            except OSError:
+                data = b''
+            match self.link:
+                case _ if not data:
+                    writer.transport.abort()
+                    return
+                case Link.RESET:
+                    writer.transport.abort()
+                    return
+                case Link.SILENT:
+                    continue
+                case Link.ONE_WAY if answers:
+                    continue
+                case Link.DELAYED:
+                    await asyncio.sleep(DELAY_S)
+            if writer.is_closing():
+                return
+            writer.write(data)
--- /dev/null
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/site.py
@@ -0,0 +1,216 @@
+"""A whole site on loopback: store, hosts, fabric, clients and VMs."""
+
+import asyncio
+import json
+import pathlib
+import socket
+import sys
+import tempfile
+import typing
+
+from savoryhaven_standins import processes as processes_module
+from savoryhaven_standins.users_platform import clients as clients_module
+from savoryhaven_standins.users_platform import fabric as fabric_module
+from savoryhaven_standins.users_platform import hosts as hosts_module
+from savoryhaven_standins.users_platform import proxy as proxy_module
+from savoryhaven_standins.users_platform import store as store_module
+from savoryhaven_standins.users_platform import wire
+
+SERVICE_HOST = '198.18.0.1'
+DESK = (wire.parse_host(SERVICE_HOST), 8443)
+VAULT = (wire.parse_host(SERVICE_HOST), 8080)
+READY_S = 15.0
+POLL_S = 0.05
+GRACE_S = 4.0
+# The addresses of a site; the second number is drawn for each site.
+_VM, _HOST, _CLIENT, _STORE, _PROXY = 1, 2, 3, 4, 5
+
+
+class Site:
+    """Everything of one test; ``async with`` starts and ends it."""
+
+    def __init__(self, *, vms: int, hosts: int = 4, seed: int = 1) -> None:
+        self.store = store_module.MetadataStore()
+        self.ledger = hosts_module.Ledger()
+        self.hosts: list[hosts_module.Host] = []
+        self.proxies: dict[str, proxy_module.Proxy] = {}
+        self.clients: list[clients_module.Client] = []
+        self._vm_count = vms
+        self._host_count = hosts
+        self._seed = seed
+        self._net = 64 + seed % 128
+        self._ports = _find_ports(4)
+        self._client_hosts: dict[int, str] = {}
+        self._folder = tempfile.TemporaryDirectory()
+        self.processes = processes_module.Processes(
+            pathlib.Path(self._folder.name)
+        )
+        data_port, ready_port, _, _ = self._ports
+        self.fabric = fabric_module.Fabric(
+            data_port=data_port, ready_port=ready_port, seed=seed
+        )
+        self._fabric_task: asyncio.Task | None = None
+
+    async def __aenter__(self) -> 'Site':
+        """Start everything, and wait until all VMs are ready."""
+        await self.store.open(self._make_host(_STORE, 1), self._ports[3])
+        await self.configure(1)
+        for number in range(self._host_count):
+            await self.add_host('desk' if number % 4 else 'vault')
+        names = [f'vm-{number}' for number in range(1, self._vm_count + 1)]
+        for name in names:
+            await self.start_vm(name)
+        self._fabric_task = asyncio.create_task(self.fabric.run())
+        for name in names:
+            await self.wait_ready(name)
+        return self
+
+    async def __aexit__(self, *failure: typing.Any) -> None:
+        """End what was started here."""
+        if self._fabric_task is not None:
+            self._fabric_task.cancel()
+        await self.processes.stop_all()
+        for client in self.clients:
+            client.close()
+        for host in self.hosts:
+            host.crash()
+        for proxy in self.proxies.values():
+            proxy.close()
+        self.fabric.close()
+        await self.store.close()
+        self._folder.cleanup()
+
+    async def configure(
+        self, version: int, *, desk_to: str = 'desk', extra: bool = False
+    ) -> None:
+        """Write a configuration; ``extra`` adds a route on port 9999."""
+        routes = [(DESK[1], desk_to, 'safe'), (VAULT[1], 'vault', 'unsafe')]
+        if extra:
+            routes.append((9_999, 'desk', 'safe'))
+        await self.store.put(
+            'config',
+            'main',
+            {
+                'version': version,
+                'routes': [_make_route(*route) for route in routes],
+                'services': [],
+                'limits': {'idle_timeout_ms': 15_000},
+            },
+        )
+
+    async def add_host(self, service: str) -> hosts_module.Host:
+        """Start a further host."""
+        host = hosts_module.Host(
+            service=service,
+            zone='a',
+            address=(self._make_host(_HOST, len(self.hosts) + 1), 8_080),
+            client_port=self._ports[0],
+            store=self.store,
+            ledger=self.ledger,
+            clients=self._client_hosts,
+        )
+        self.hosts.append(host)
+        await host.start()
+        return host
+
+    def add_client(self) -> clients_module.Client:
+        """Return a further client."""
+        client = clients_module.Client(
+            self._make_host(_CLIENT, len(self.clients) + 1),
+            self._ports[0],
+            self.fabric.send,
+        )
+        self._client_hosts[client.number] = client.host
+        self.clients.append(client)
+        return client
+
+    def find_vm_host(self, name: str) -> str:
+        """Return the address of a VM."""
+        return self._make_host(_VM, int(name.removeprefix('vm-')))
+
+    async def start_vm(self, name: str) -> None:
+        """Start a VM's process, with a proxy between it and the store."""
+        if name not in self.proxies:
+            proxy = proxy_module.Proxy(
+                (self._make_host(_STORE, 1), self._ports[3])
+            )
+            number = int(name.removeprefix('vm-'))
+            await proxy.open(self._make_host(_PROXY, number), self._ports[3])
+            self.proxies[name] = proxy
+            self.fabric.hosts.append(self.find_vm_host(name))
+        path = self.write_settings(name)
+        await self.processes.start(
+            name, sys.executable, '-m', 'savoryhaven', 'run', '-s', str(path)
+        )
+
+    def write_settings(self, name: str, text: str = '') -> pathlib.Path:
+        """Write the settings of a VM, or another text in their place."""
+        path = self.processes.folder / f'{name}.json'
+        path.write_text(text or json.dumps(self._make_settings(name)))
+        return path
+
+    def _make_settings(self, name: str) -> dict[str, typing.Any]:
+        host = self.find_vm_host(name)
+        data_port, ready_port, peer_port, store_port = self._ports
+        number = int(name.removeprefix('vm-'))
+        proxy = self._make_host(_PROXY, number)
+        return {
+            'vm_id': name,
+            'failure_domain': 'a',
+            'flow_place': 'tag',
+            'data_address': f'{host}:{data_port}',
+            'operator_address': f'{host}:9464',
+            'readiness': {
+                'address': f'{host}:{ready_port}',
+                'path': '/v1/readiness',
+            },
+            'peers': {
+                'port': peer_port,
+                'seeds': [f'{self._make_host(_VM, 1)}:1'],
+            },
+            'store': {'address': f'{proxy}:{store_port}'},
+            'stop': {'grace_s': GRACE_S},
+            'plugins': ['savoryhaven_platform'],
+        }
+
+    async def wait_ready(self, name: str) -> None:
+        """Wait for a VM; raises ``TimeoutError`` or what it logged."""
+        async with asyncio.timeout(READY_S):
+            while not await self.fabric.is_ready(self.find_vm_host(name)):
+                self.processes.check_running(name)
+                await asyncio.sleep(POLL_S)
+
+    def read_events(self, name: str) -> list[dict[str, typing.Any]]:
+        """Return the events that a VM has logged so far."""
+        lines = self.processes.read_log(name).splitlines()
+        return [json.loads(line) for line in lines if line.startswith('{')]
+
+    def _make_host(self, group: int, number: int) -> str:
+        return f'127.{self._net}.{group}.{number}'
+
+
+def _make_route(port: int, service: str, kind: str) -> dict[str, typing.Any]:
+    return {
+        'name': f'r-{port}',
+        'hostname': SERVICE_HOST,
+        'path_prefix': f'/{port}/',
+        'route_type': kind,
+        'timeout_ms': 3_000,
+        'target_latency_ms': 500,
+        'priority': 1,
+        'service': service,
+        'max_attempts': 2,
+    }
+
+
+def _find_ports(count: int) -> list[int]:
+    """Return ports that nobody on this machine listens on just now."""
+    bound = []
+    for _ in range(count):
+        probe = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        probe.bind(('0.0.0.0', 0))
+        bound.append(probe)
+    ports = [probe.getsockname()[1] for probe in bound]
+    for probe in bound:
+        probe.close()
+    return ports
--- /dev/null
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/store.py
@@ -0,0 +1,133 @@
+"""The platform's metadata store: objects, revisions, watches and outages."""
+
+import asyncio
+import enum
+import typing
+
+from aiohttp import web
+import attrs
+
+HISTORY = 1_000
+
+
+class Mode(enum.Enum):
+    """How the store treats a call."""
+
+    UP = 'up'
+    SILENT = 'silent'
+    BUSY = 'busy'
+    MANY = 'many'
+    SLOW = 'slow'
+
+
+SLOW_S = 0.4
+SILENT_S = 30.0
+
+
+@attrs.define
+class _Event:
+    revision: int
+    kind: str
+    item: dict[str, typing.Any]
+    deleted: bool
+
+
+class MetadataStore:
+    """One store; tests write to it directly."""
+
+    def __init__(self) -> None:
+        self.mode = Mode.UP
+        self.calls = 0
+        self._revision = 1
+        self._objects: dict[str, dict[str, dict[str, typing.Any]]] = {}
+        self._history: list[_Event] = []
+        self._first_revision = 1
+        self._changed = asyncio.Condition()
+        self._runner: web.AppRunner | None = None
+
+    async def open(self, host: str, port: int) -> None:
+        """Bind an address."""
+        app = web.Application()
+        app.add_routes([web.get('/v1/objects/{kind}', self._get)])
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, port).start()
+
+    async def close(self) -> None:
+        """Stop serving."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def put(self, kind: str, name: str, spec: typing.Any) -> None:
+        """Write an object."""
+        self._revision += 1
+        meta = {'name': name, 'revision': self._revision}
+        item = {'meta': meta, 'spec': spec, 'status': None}
+        self._objects.setdefault(kind, {})[name] = item
+        await self._note(_Event(self._revision, kind, item, False))
+
+    async def delete(self, kind: str, name: str) -> None:
+        """Remove an object, if it is there."""
+        item = self._objects.get(kind, {}).pop(name, None)
+        if item is not None:
+            self._revision += 1
+            await self._note(_Event(self._revision, kind, item, True))
+
+    async def forget_history(self) -> None:
+        """Make every watch start anew."""
+        async with self._changed:
+            self._history.clear()
+            self._first_revision = self._revision + 1
+            self._revision += 1
+            self._changed.notify_all()
+
+    async def _note(self, event: _Event) -> None:
+        async with self._changed:
+            self._history.append(event)
+            if len(self._history) > HISTORY:
+                self._first_revision = self._history.pop(0).revision + 1
+            self._changed.notify_all()
+
+    async def _get(self, request: web.Request) -> web.Response:
+        self.calls += 1
+        match self.mode:
+            case Mode.SILENT:
+                await asyncio.sleep(SILENT_S)
+            case Mode.BUSY:
+                return web.Response(status=503)
+            case Mode.MANY:
+                return web.Response(status=429)
+            case Mode.SLOW:
+                await asyncio.sleep(SLOW_S)
+        kind = request.match_info['kind']
+        if 'watch' in request.query:
+            return await self._watch(kind, request.query)
+        items = list(self._objects.get(kind, {}).values())
+        return web.json_response(
+            {'items': items, 'has_more': False, 'at': self._revision}
+        )
+
+    async def _watch(
+        self, kind: str, query: typing.Mapping[str, str]
+    ) -> web.Response:
+        since = int(query['watch'])
+        wait_s = int(query.get('wait_ms', '0')) / 1000
+        try:
+            async with asyncio.timeout(wait_s), self._changed:
+                while True:
+                    if since + 1 < self._first_revision:
+                        return web.json_response({}, status=410)
+                    events = self._find_events(kind, since)
+                    if events:
+                        break
+                    await self._changed.wait()
+        except TimeoutError:
+            events = []
+        return web.json_response({'events': events, 'at': self._revision})
+
+    def _find_events(self, kind: str, since: int) -> list[typing.Any]:
+        return [
+            {'object': event.item, 'deleted': event.deleted}
+            for event in self._history
+            if event.kind == kind and event.revision > since
+        ]
--- /dev/null
+++ b/packages/savoryhaven-standins/tests/test_users_site.py
@@ -0,0 +1,211 @@
+"""Real VMs before the stand-in of the users' platform."""
+
+import asyncio
+import functools
+import signal
+import time
+import typing
+
+import aiohttp
+
+from savoryhaven_standins.users_platform import clients
+from savoryhaven_standins.users_platform import site as site_module
+from savoryhaven_standins.users_platform import store
+
+Site = site_module.Site
+DESK = site_module.DESK
+VAULT = site_module.VAULT
+SERVED = clients.Outcome.SERVED
+
+
+def run_site(
+    **options: typing.Any,
+) -> typing.Callable[[typing.Callable], typing.Callable[[], None]]:
+    """Run a test with a site of its own."""
+
+    def decorate(test: typing.Callable) -> typing.Callable[[], None]:
+        @functools.wraps(test)
+        def run() -> None:
+            async def run_in_site() -> None:
+                async with Site(**options) as site:
+                    await test(site)
+
+            asyncio.run(run_in_site())
+
+        # nose2 calls what it finds by the signature of what is wrapped.
+        del run.__wrapped__
+        return run
+
+    return decorate
+
+
+async def request_once(
+    site: Site, name: str, service: tuple[int, int] = DESK
+) -> clients.Outcome:
+    """Open a flow from a new client, send one request, and close it."""
+    flow = await site.add_client().open(service)
+    outcome = await flow.request(name)
+    await flow.close()
+    return outcome
+
+
+def list_names(site: Site, vm: str) -> list[str]:
+    """Return the names of a VM's events."""
+    return [event['event'] for event in site.read_events(vm)]
+
+
+@run_site(vms=3, seed=1)
+async def test_flows_survive_a_planned_stop_of_each_vm(site: Site) -> None:
+    flows = [await site.add_client().open(DESK) for _ in range(12)]
+    for number in range(1, 4):
+        name = f'vm-{number}'
+        began = time.monotonic()
+        site.processes.send_signal(name, signal.SIGTERM)
+        while name in site.processes.running and (
+            site.processes.running[name].returncode is None
+        ):
+            for index, flow in enumerate(flows):
+                wanted = f'{name}-{index}-{flow.requests}'
+                assert await flow.request(wanted) is SERVED
+            await asyncio.sleep(0.1)
+        assert await site.processes.wait(name) == 0
+        assert time.monotonic() - began < site_module.GRACE_S
+        await site.start_vm(name)
+        await site.wait_ready(name)
+        await asyncio.sleep(1.0)
+    assert not site.ledger.strays
+    assert max(site.ledger.ran.values()) == 1
+
+
+@run_site(vms=2, seed=2)
+async def test_the_right_service_answers(site: Site) -> None:
+    for number in range(10):
+        service = (DESK, VAULT)[number % 2]
+        assert await request_once(site, f'r-{number}', service) is SERVED
+    for _, host, service in site.ledger.openings:
+        assert host.service == {DESK: 'desk', VAULT: 'vault'}[service]
+
+
+@run_site(vms=2, seed=3)
+async def test_a_draining_host_gets_no_new_flows(site: Site) -> None:
+    host = next(h for h in site.hosts if h.service == 'desk')
+    await host.drain()
+    await asyncio.sleep(1.0)
+    site.ledger.openings.clear()
+    for number in range(20):
+        assert await request_once(site, f'r-{number}') is SERVED
+    assert host not in [at for _, at, _ in site.ledger.openings]
+
+
+@run_site(vms=2, seed=4)
+async def test_a_configuration_is_in_force_everywhere_in_time(
+    site: Site,
+) -> None:
+    await site.configure(5, desk_to='vault', extra=True)
+    await asyncio.sleep(1.0)
+    site.ledger.openings.clear()
+    extra = (DESK[0], 9_999)
+    for number in range(10):
+        assert await request_once(site, f'a-{number}') is SERVED
+        assert await request_once(site, f'b-{number}', extra) is SERVED
+    services = {
+        (host.service, service) for _, host, service in site.ledger.openings
+    }
+    assert services == {('vault', DESK), ('desk', extra)}
+
+
+@run_site(vms=2, seed=5)
+async def test_a_route_that_does_not_exist_is_refused_at_once(
+    site: Site,
+) -> None:
+    began = time.monotonic()
+    outcome = await request_once(site, 'r-1', (DESK[0], 1_234))
+    assert outcome is clients.Outcome.NOT_OPENED
+    assert time.monotonic() - began < 0.2
+
+
+@run_site(vms=2, seed=6)
+async def test_a_vm_that_starts_while_the_store_is_down_asks_its_peers(
+    site: Site,
+) -> None:
+    site.store.mode = store.Mode.SILENT
+    site.processes.send_signal('vm-1', signal.SIGKILL)
+    await site.processes.wait('vm-1')
+    await site.start_vm('vm-1')
+    await site.wait_ready('vm-1')
+    for number in range(10):
+        assert await request_once(site, f'r-{number}') is SERVED
+
+
+@run_site(vms=2, seed=7)
+async def test_one_vm_that_reaches_the_store_informs_the_other(
+    site: Site,
+) -> None:
+    for link in (site.proxies['vm-2'], site.proxies['vm-1']):
+        link.link = type(link.link).SILENT
+        host = await site.add_host('desk')
+        await asyncio.sleep(3.0)
+        for name in ('vm-1', 'vm-2'):
+            address = site.find_vm_host(name)
+            async with aiohttp.ClientSession() as session:
+                answer = await session.get(f'http://{address}:9464/dump')
+                dump = await answer.json()
+            assert host.name in {u['upstream_id'] for u in dump['upstreams']}
+        link.link = type(link.link).GOOD
+
+
+@run_site(vms=2, seed=8)
+async def test_a_crashed_host_is_left_out_within_a_second(site: Site) -> None:
+    host = next(h for h in site.hosts if h.service == 'desk')
+    host.crash()
+    outcomes = [await request_once(site, f'r-{n}') for n in range(40)]
+    assert outcomes == [SERVED] * 40
+    began = time.monotonic()
+    for number in range(10):
+        assert await request_once(site, f's-{number}') is SERVED
+    # Ten requests of some 30 ms, and at most one trial of 200 ms.
+    assert time.monotonic() - began < 1.0
+
+
+@run_site(vms=1, seed=9)
+async def test_settings_are_reloaded_or_kept(site: Site) -> None:
+    site.processes.send_signal('vm-1', signal.SIGHUP)
+    await asyncio.sleep(0.5)
+    site.write_settings('vm-1', '{"vm_id": 3}')
+    await asyncio.sleep(1.6)
+    assert await request_once(site, 'r-1') is SERVED
+    await asyncio.sleep(0.5)
+    events = site.read_events('vm-1')
+    (reloaded,) = [e for e in events if e['event'] == 'reloaded']
+    assert reloaded['cause'] == 'signal'
+    failed = [e for e in events if e['event'] == 'reload_failed']
+    assert {event['code'] for event in failed} == {'SH102'}
+    assert len(failed) == 1
+
+
+@run_site(vms=1, seed=10)
+async def test_metrics_and_status_are_served(site: Site) -> None:
+    assert await request_once(site, 'r-1') is SERVED
+    base = f'http://{site.find_vm_host("vm-1")}:9464'
+    async with aiohttp.ClientSession() as session:
+        status = await (await session.get(f'{base}/status')).json()
+        metrics = await (await session.get(f'{base}/metrics')).text()
+    assert status['ready']
+    assert status['configuration'] == 1
+    assert 'savoryhaven_opened_total' in metrics
+    assert 'savoryhaven_answer_seconds_bucket' in metrics
+
+
+@run_site(vms=1, seed=11)
+async def test_lost_history_and_entries_of_others_do_no_harm(
+    site: Site,
+) -> None:
+    await site.store.put('servers', 'i-99', {'service': 7})
+    await site.store.put('servers', 'strange', 'text')
+    await site.store.forget_history()
+    host = await site.add_host('desk')
+    await asyncio.sleep(1.5)
+    for number in range(10):
+        assert await request_once(site, f'r-{number}') is SERVED
+    assert host in [at for _, at, _ in site.ledger.openings]
+    assert list_names(site, 'vm-1').count('entry_skipped') == 2
--- a/packages/savoryhaven/src/_savoryhaven/operation/events.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/events.py
@@ -108,7 +108,9 @@
             import loguru
 
             loguru.logger.remove()
-            loguru.logger.add(self._take_line, format='{message}')
+            loguru.logger.add(
+                self._take_line, format='{message}', level='INFO'
+            )
             self._logger = loguru.logger
         return self._logger
 
