--- a/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
@@ -170,6 +170,10 @@
             if not heartbeat.answer:
                 answer = self._build_heartbeat(now, members=True, answer=True)
                 self._send_message(answer, host)
+        for tag in heartbeat.suspects:
+            state = self._catalogue.by_tag.get(tag)
+            if state is not None:
+                state.reported_failed_at = now
         for address in heartbeat.members:
             self.members.learn(address, now)
         if heartbeat.loads is not None:
@@ -386,7 +390,7 @@
             suspects=tuple(
                 state.upstream.tag
                 for state in catalogue.list_states()
-                if selection.is_suspect(state, now)
+                if selection.has_failed(state, now)
             ),
             members=tuple(told[: members_module.ANSWERED_MEMBERS]),
             answer=answer,
--- a/packages/savoryhaven/src/_savoryhaven/operation/events.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/events.py
@@ -84,11 +84,25 @@
         budget.used += 1
         self._queue.append(_Event(name, epoch_s, fields))
 
+    def prepare(self) -> None:
+        """Import the library that lines go through.
+
+        It takes a small VM a quarter of a second, so a VM does it in a thread
+        once it serves.
+        """
+        import loguru
+
+        loguru.logger.remove()
+        loguru.logger.add(self._take_line, format='{message}', level='INFO')
+        self._logger = loguru.logger
+
     def flush(self) -> None:
         """Write what standard output takes without blocking."""
+        if self._logger is None:
+            self.prepare()
         while self._queue and len(self._unwritten) < WRITE_BYTES:
             event = self._queue.popleft()
-            self._get_logger().bind(event=event).info(event.name)
+            self._logger.bind(event=event).info(event.name)
         while self._unwritten and _is_writable():
             chunk = bytes(self._unwritten[:WRITE_BYTES])
             try:
@@ -102,18 +116,6 @@
     def _is_full(self) -> bool:
         return len(self._queue) >= QUEUE_LINES
 
-    def _get_logger(self) -> typing.Any:
-        """Return loguru's logger, imported after the start for its cost."""
-        if self._logger is None:
-            import loguru
-
-            loguru.logger.remove()
-            loguru.logger.add(
-                self._take_line, format='{message}', level='INFO'
-            )
-            self._logger = loguru.logger
-        return self._logger
-
     def _take_line(self, message: typing.Any) -> None:
         event = message.record['extra'].get('event')
         if event is None:
--- a/packages/savoryhaven/src/_savoryhaven/operation/node.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/node.py
@@ -32,6 +32,8 @@
 UNCONFIRMED_S = 2.5
 SWEEP_INTERVAL_S = 0.5
 FLUSH_INTERVAL_S = 0.2
+# A VM that does not become ready says why after so long, in seconds.
+LOG_DELAY_MAX_S = 1.0
 # Settings may change without a signal; they are looked at so often.
 SETTINGS_INTERVAL_S = 1.0
 # A longer gap between two heartbeats is a pause of the process, in seconds.
@@ -285,10 +287,14 @@
                 )
 
     async def _run_flushes(self) -> None:
+        while not self.is_ready():
+            await asyncio.sleep(FLUSH_INTERVAL_S)
+            if self.read_age(self._started_at) > LOG_DELAY_MAX_S:
+                break
+        await asyncio.to_thread(self.events.prepare)
         while True:
+            self.events.flush()
             await asyncio.sleep(FLUSH_INTERVAL_S)
-            if self.is_ready():
-                self.events.flush()
 
     async def _run_settings_watch(self) -> None:
         while True:
--- a/packages/savoryhaven/src/_savoryhaven/placement/selection.py
+++ b/packages/savoryhaven/src/_savoryhaven/placement/selection.py
@@ -20,6 +20,10 @@
 SUSPICION_S = 4.0
 # Between two trial openings at one suspect, in seconds.
 RETRY_INTERVAL_S = 0.8
+# A peer's report of failed openings counts for so long, in seconds: a few
+# heartbeats. An answer that is no older than a copy's delay outweighs it.
+REPORT_LIFETIME_S = 1.0
+ANSWER_OUTWEIGHS_S = 0.25
 # Weight of the load of the last seconds beside that of the moment.
 LASTING_WEIGHT = 0.5
 # What another failure domain adds to the load per slot: a few milliseconds
@@ -109,9 +113,24 @@
 
 def is_suspect(state: upstreams.UpstreamState, now: float) -> bool:
     """Return whether openings failed there and nothing was answered since."""
+    return has_failed(state, now) or is_reported(state, now)
+
+
+def has_failed(state: upstreams.UpstreamState, now: float) -> bool:
+    """Return whether openings of this VM failed there.
+
+    This is what peers are told, so that a report does not feed itself.
+    """
     return state.failures > 0 and now - state.failed_at < SUSPICION_S
 
 
+def is_reported(state: upstreams.UpstreamState, now: float) -> bool:
+    """Return whether a peer's openings failed, and this VM knows no better."""
+    heard_s = now - state.reported_failed_at
+    silent_s = state.reported_failed_at - state.answered_at
+    return heard_s < REPORT_LIFETIME_S and silent_s > ANSWER_OUTWEIGHS_S
+
+
 def _find_due_trial(
     states: list[upstreams.UpstreamState], now: float
 ) -> upstreams.UpstreamState | None:
@@ -121,7 +140,7 @@
     the same. Where more failed, the store or an answer has to speak first.
     """
     for state in states:
-        if state.failures == 1 and is_suspect(state, now):
+        if state.failures == 1 and has_failed(state, now):
             since = max(state.retried_at, state.failed_at)
             if now - since >= RETRY_INTERVAL_S:
                 return state
--- a/packages/savoryhaven/src/_savoryhaven/placement/upstreams.py
+++ b/packages/savoryhaven/src/_savoryhaven/placement/upstreams.py
@@ -21,7 +21,8 @@
     Loads are requests at work, times are seconds of the VM's clock.
     ``outstanding`` are requests that went through this VM unanswered,
     ``opening`` are openings that nothing has followed yet.
-    ``reported_load`` is what peers report of theirs.
+    ``reported_load`` is what peers report of theirs, and
+    ``reported_failed_at`` when one last reported failed openings.
     """
 
     upstream: records.Upstream
@@ -37,6 +38,7 @@
     answered_at: float = -math.inf
     failed_at: float = -math.inf
     failures: int = 0
+    reported_failed_at: float = -math.inf
     retried_at: float = -math.inf
     warm_at: float = -math.inf
     removed_at: float = math.inf
--- a/packages/savoryhaven/tests/test_gossip.py
+++ b/packages/savoryhaven/tests/test_gossip.py
@@ -8,6 +8,7 @@
 from _savoryhaven.knowledge import messages
 from _savoryhaven.knowledge import records
 from _savoryhaven.operation import counters
+from _savoryhaven.placement import selection
 from savoryhaven_standins import tagged
 
 SEEDS = ('10.0.0.1',)
@@ -203,3 +204,16 @@
     assert len(first.members) == 1
     network.pass_time(members_module.FORGET_S, seeds=SEEDS)
     assert len(first.members) == 0
+
+
+def test_suspects_are_told_to_peers_but_not_passed_on() -> None:
+    network = start_fleet(3)
+    network.pass_time(1.0, seeds=SEEDS)
+    first, second, third = network.vms.values()
+    now = network.clock.now
+    first.catalogue.by_tag[2].note_failure(now - 0.2, now)
+    network.pass_time(0.5, seeds=SEEDS)
+    now = network.clock.now
+    for vm in (second, third):
+        assert selection.is_suspect(vm.catalogue.by_tag[2], now)
+        assert not selection.has_failed(vm.catalogue.by_tag[2], now)
--- a/packages/savoryhaven/tests/test_selection.py
+++ b/packages/savoryhaven/tests/test_selection.py
@@ -134,3 +134,19 @@
     for state in states:
         fair = 900 * state.upstream.slots / slots
         assert abs(state.outstanding - fair) <= 0.1 * fair
+
+
+def test_a_peer_s_failed_openings_count_unless_this_vm_knows_better() -> None:
+    states = [tagged.make_state(1), tagged.make_state(2, outstanding=1)]
+    states[0].reported_failed_at = NOW
+    assert choose(states).state is states[1]
+    states[0].note_answer(NOW - 0.1)
+    assert choose(states).state is states[0]
+
+
+def test_a_report_of_a_peer_ends_and_is_not_passed_on() -> None:
+    state = tagged.make_state(1)
+    state.reported_failed_at = NOW
+    assert selection.is_suspect(state, NOW + 0.9)
+    assert not selection.has_failed(state, NOW + 0.9)
+    assert not selection.is_suspect(state, NOW + 1.1)
