Add a fault soak on the stand-in of the users' platform

Real VMs under series of overlapping faults, drawn by a seed; resets, stray packets, wrong or doubled runs, late drains and configurations, and exits are checked.

--- a/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/site.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/site.py
@@ -29,13 +29,21 @@
 class Site:
     """Everything of one test; ``async with`` starts and ends it."""
 
-    def __init__(self, *, vms: int, hosts: int = 4, seed: int = 1) -> None:
+    def __init__(
+        self,
+        *,
+        vms: int,
+        hosts: int = 4,
+        seed: int = 1,
+        plugins: tuple[str, ...] = (),
+    ) -> None:
         self.store = store_module.MetadataStore()
         self.ledger = hosts_module.Ledger()
         self.hosts: list[hosts_module.Host] = []
         self.proxies: dict[str, proxy_module.Proxy] = {}
         self.clients: list[clients_module.Client] = []
         self._vm_count = vms
+        self._plugins = plugins
         self._host_count = hosts
         self._seed = seed
         self._net = 64 + seed % 128
@@ -170,7 +178,7 @@
             },
             'store': {'address': f'{proxy}:{store_port}'},
             'stop': {'grace_s': GRACE_S},
-            'plugins': ['savoryhaven_platform'],
+            'plugins': ['savoryhaven_platform', *self._plugins],
         }
 
     async def wait_ready(self, name: str) -> None:
--- /dev/null
+++ b/packages/savoryhaven-standins/tests/test_soak.py
@@ -0,0 +1,23 @@
+"""The soak in short, the seeds that ever failed, and proof that it notices."""
+
+from nose2.tools import params
+
+from savoryhaven_standins import soak
+
+SECONDS = 12.0
+# One seed for CI, and each seed that ever broke a promise.
+SEEDS = (1,)
+
+
+@params(*SEEDS)
+def test_a_short_soak_breaks_no_promise(seed: int) -> None:
+    run = soak.run_seed(seed, SECONDS)
+    assert not run.violations, (run.violations, run.faults)
+    assert run.outcomes[soak.Outcome.SERVED] > 100
+
+
+def test_the_soak_notices_a_vm_that_resets_flows_it_has_not_seen() -> None:
+    run = soak.run_seed(2, SECONDS, plugins=('savoryhaven_standins.saboteur',))
+    assert any('was reset' in found for found in run.violations), (
+        run.violations
+    )
