--- a/packages/savoryhaven/src/_savoryhaven/datapath/flows.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/flows.py
@@ -16,6 +16,9 @@
 # Sequence numbers are 32 bits wide and wrap around.
 _SEQUENCE_MODULUS = 1 << 32
 _HALF = _SEQUENCE_MODULUS // 2
+# A client that gave up may repeat its last request for so long after its
+# FIN, in seconds: the longest interval of repetitions.
+ENDED_KEPT_S = 2.0
 
 
 @attrs.define(eq=False)
@@ -36,6 +39,7 @@
     repeats: int = 0
     requests: int = 0
     load_met: float = 0.0
+    ended: bool = False
 
 
 @attrs.frozen
@@ -85,7 +89,8 @@
             flow, packet, now
         )
         if packet.closing:
-            self.remove(packet.key, now)
+            flow.ended = True
+            _end_request(flow, now)
         return Observation(flow, begins, latency_s, load_met)
 
     def remove(self, key: packets.FlowKey, now: float) -> None:
@@ -104,7 +109,8 @@
         """
         idle = []
         for key, flow in self._flows.items():
-            if now - flow.seen_at > idle_s:
+            limit_s = min(idle_s, ENDED_KEPT_S) if flow.ended else idle_s
+            if now - flow.seen_at > limit_s:
                 idle.append(key)
             elif now - flow.waiting_since > request_s:
                 _end_request(flow, now)
@@ -148,6 +154,8 @@
             flow.repeats += 1
             return False
         flow.sequence = packet.sequence
+        if flow.ended:
+            return False
         if flow.waiting_since != math.inf:
             return False
         flow.waiting_since = now
--- a/packages/savoryhaven/tests/test_forwarder.py
+++ b/packages/savoryhaven/tests/test_forwarder.py
@@ -266,3 +266,26 @@
     assert not vm.sent
     assert not vm.resets
     assert vm.asked == [77]
+
+
+def test_what_a_client_repeats_after_giving_up_is_no_new_request() -> None:
+    vm = make_vm(1)
+    tag = open_flow(vm)
+    (state,) = vm.catalogue.list_states()
+    request = {
+        'tag': tag,
+        'sequence': 102,
+        'acknowledged': 1,
+        'payload_bytes': 9,
+    }
+    vm.receive(tagged.make_packet(**request))
+    vm.receive(tagged.make_packet(**request | {'closing': True}))
+    assert state.outstanding == 0
+    vm.clock.now += 1.6
+    vm.receive(tagged.make_packet(**request))
+    assert state.outstanding == 0
+    # It is forwarded all the same.
+    assert len(vm.take_sent()) == 3
+    vm.clock.now += 2.1
+    vm.forwarder.expire(vm.clock.now)
+    assert len(vm.forwarder.flows) == 0
