--- a/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
@@ -25,6 +25,9 @@
 # A route that is not known is missing for sure only while what is known of
 # the configuration is no older, in seconds; a change is in force within 3 s.
 CERTAIN_ROUTES_S = 1.5
+# An upstream's last answers may be acknowledged so long after its entry is
+# gone, in seconds: round trips, and a client's own delay.
+LAST_ANSWER_S = 0.1
 # Flows that a VM observes: a few KB each would not fit 25 MB.
 FLOW_LIMIT = 20_000
 OPENING_LIMIT = 5_000
@@ -187,9 +190,13 @@
 
         An upstream that was draining has left when its entry is gone. One
         that vanished has to be silent besides: the client repeats a packet.
+        Neither holds for one that still answers: it may be cut off from the
+        store only.
         """
         if state.lapsed or not packet.payload_bytes:
             return False
+        if state.answered_at > state.removed_at + LAST_ANSWER_S:
+            return False
         flow = self.flows.get(packet.key)
         repeated = flow is not None and packet.sequence == flow.sequence
         if not state.upstream.draining and not repeated:
--- a/packages/savoryhaven/tests/test_forwarder.py
+++ b/packages/savoryhaven/tests/test_forwarder.py
@@ -289,3 +289,20 @@
     vm.clock.now += 2.1
     vm.forwarder.expire(vm.clock.now)
     assert len(vm.forwarder.flows) == 0
+
+
+def test_a_drained_upstream_that_still_answers_keeps_its_flows() -> None:
+    """It is cut off from the store, and its entry has expired."""
+    vm = make_vm(1)
+    tags = [open_flow(vm, port) for port in (1, 2)]
+    vm.learn([tagged.make_upstream(1, draining=True, revision=50)])
+    vm.learn([tagged.make_upstream(2)], revision=102)
+    vm.clock.now += 0.2
+    acknowledgement = {'tag': tags[0], 'sequence': 101, 'acknowledged': 900}
+    vm.receive(tagged.make_packet(1, **acknowledgement))
+    vm.receive(
+        tagged.make_packet(
+            2, tag=tags[1], sequence=102, acknowledged=1, payload_bytes=9
+        )
+    )
+    assert not vm.resets
