--- a/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
@@ -265,11 +265,7 @@
             return
         state = choice.state
         decision = admission.decide_admission(
-            admission.make_demand(
-                route.target_latency_s,
-                route.priority,
-                self._routes.most_urgent,
-            ),
+            admission.make_demand(route.target_latency_s, route.priority),
             load=state.load,
             slots=state.upstream.slots,
             service_s=learned.average_s,
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/routes.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/routes.py
@@ -15,8 +15,6 @@
         # The store's revision as of which the configuration is the newest.
         self.revision = 0
         self.confirmed_at = -math.inf
-        # The priority of the most urgent route; 0 is the highest.
-        self.most_urgent = 0
 
     @property
     def version(self) -> int:
@@ -28,10 +26,6 @@
         if configuration.version <= self.version:
             return False
         self.current = configuration
-        self.most_urgent = min(
-            (route.priority for route in configuration.routes.values()),
-            default=0,
-        )
         return True
 
     def confirm(self, confirmed_at: float) -> None:
--- a/packages/savoryhaven/src/_savoryhaven/placement/admission.py
+++ b/packages/savoryhaven/src/_savoryhaven/placement/admission.py
@@ -51,12 +51,10 @@
 Admission = Admitted | Refused
 
 
-def make_demand(target_s: float, priority: int, most_urgent: int) -> Demand:
-    """Return the demand of a route; priority 0 is the most urgent of all."""
-    steps = max(0, priority - most_urgent)
-    return Demand(
-        target_s, max(LEAST_SHARE, URGENT_SHARE - steps * URGENCY_STEP)
-    )
+def make_demand(target_s: float, priority: int) -> Demand:
+    """Return the demand of a route; priority 0 is the most urgent."""
+    share = URGENT_SHARE - priority * URGENCY_STEP
+    return Demand(target_s, max(LEAST_SHARE, share))
 
 
 def decide_admission(
--- a/packages/savoryhaven/tests/test_admission.py
+++ b/packages/savoryhaven/tests/test_admission.py
@@ -39,7 +39,7 @@
     free_at = [[0.0] * SLOTS for _ in states]
     ends: list[tuple[float, int]] = []
     load = Load()
-    demand = admission.make_demand(TARGET_S, 1, 1)
+    demand = admission.make_demand(TARGET_S, 0)
     now = 0.0
     while now < 10.0:
         now += source.expovariate(rate_per_s)
@@ -96,8 +96,8 @@
 
 
 def test_less_urgent_routes_are_refused_first() -> None:
-    urgent = admission.make_demand(TARGET_S, 1, 1)
-    other = admission.make_demand(TARGET_S, 2, 1)
+    urgent = admission.make_demand(TARGET_S, 0)
+    other = admission.make_demand(TARGET_S, 2)
     loads = {'load': 9.0, 'slots': SLOTS, 'service_s': SERVICE_S}
     assert isinstance(
         admission.decide_admission(urgent, **loads), admission.Admitted
--- a/packages/savoryhaven/tests/test_routes.py
+++ b/packages/savoryhaven/tests/test_routes.py
@@ -42,16 +42,3 @@
     )
     keys = [(7, port, 1, 2) for port in range(1_000)]
     assert {routes_module.choose_service(route, k) for k in keys} == {'b'}
-
-
-def test_the_most_urgent_route_is_known() -> None:
-    routes = routes_module.Routes()
-    routes.adopt(
-        tagged.make_configuration(
-            routes=[
-                tagged.make_route(priority=2),
-                tagged.make_route(99, priority=1),
-            ]
-        )
-    )
-    assert routes.most_urgent == 1
