--- a/benchmarks/run_all.py
+++ b/benchmarks/run_all.py
@@ -13,6 +13,8 @@
     'faults.py',
     'policies.py',
     'capacity.py',
+    'tagged_speed.py',
+    'tagged_capacity.py',
 )
 
 
