--- a/packages/savoryhaven/src/savoryhaven/cli.py
+++ b/packages/savoryhaven/src/savoryhaven/cli.py
@@ -1,5 +1,6 @@
 """Entry point of the binary ``savoryhaven``."""
 
+import importlib
 import pathlib
 import signal
 import sys
@@ -17,6 +18,7 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     match sys.argv[1:]:
         case ['run', '--settings' | '-s', path] if _keeps_tags(path):
+            _import_asyncio_without_tls()
             from _savoryhaven.operation import launch
 
             return launch.launch(pathlib.Path(path))
@@ -25,6 +27,20 @@
     return cli.main()
 
 
+def _import_asyncio_without_tls() -> None:
+    """Import asyncio as if Python had been built without TLS.
+
+    Such a VM speaks none, and a process is 4 MB smaller and starts sooner.
+    Modules that are imported later find ``ssl`` as usual.
+    """
+    if 'ssl' not in sys.modules:
+        sys.modules['ssl'] = None
+        try:
+            importlib.import_module('asyncio')
+        finally:
+            del sys.modules['ssl']
+
+
 def _keeps_tags(path: str) -> bool:
     from _savoryhaven import errors
     from _savoryhaven.operation import settings
