--- a/packages/savoryhaven-standins/src/savoryhaven_standins/soak.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/soak.py
@@ -69,7 +69,10 @@
         self._seconds = seconds
         self._vms = vms
         self._plugins = plugins
+        # What callers and faults choose depends on timing; the series of
+        # faults does not, and is the same for a seed on any machine.
         self._random = random.Random(seed)
+        self._schedule: typing.Final = random.Random(f'schedule {seed}')
         self._site: site_module.Site | None = None
         self._tasks: set[asyncio.Task] = set()
         self._disturbed: list[tuple[float, float]] = []
@@ -145,9 +148,9 @@
         )
         end = _now() + self._seconds
         while _now() < end:
-            await asyncio.sleep(self._random.uniform(*FAULT_GAP_S))
-            action = self._random.choice(actions)
-            length_s = self._random.uniform(*FAULT_LENGTH_S)
+            await asyncio.sleep(self._schedule.uniform(*FAULT_GAP_S))
+            action = self._schedule.choice(actions)
+            length_s = self._schedule.uniform(*FAULT_LENGTH_S)
             self.faults.append(f'{action.__name__[1:]} {length_s:.1f}')
             task = asyncio.create_task(self._disturb(action, length_s))
             self._tasks.add(task)
--- a/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/store.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/store.py
@@ -22,6 +22,8 @@
 
 SLOW_S = 0.4
 SILENT_S = 30.0
+# Calls that wait when the store is closed get so long, in seconds.
+CLOSE_S = 0.5
 
 
 @attrs.define
@@ -49,7 +51,9 @@
         """Bind an address."""
         app = web.Application()
         app.add_routes([web.get('/v1/objects/{kind}', self._get)])
-        self._runner = web.AppRunner(app, access_log=None)
+        self._runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=CLOSE_S
+        )
         await self._runner.setup()
         await web.TCPSite(self._runner, host, port).start()
 
