Remove state that nobody reads, and encode a message once for all its receivers

From reading the change once more: flows counted repeats and reader the time of its last answer, and no one asked; expiry returned flows and settling an opening returned its argument; a heartbeat was encoded anew for each peer. The note on the flow limit named a size that the measurement (365 B) contradicts. Behaviour is unchanged. 74 tests of the modules concerned pass; linters clean.

--- a/packages/savoryhaven/src/_savoryhaven/datapath/flows.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/flows.py
@@ -26,9 +26,8 @@
     """An open flow, as its client's packets show it.
 
     ``waiting_since`` is when the request at work was first seen, infinity
-    while there is none. ``repeats`` counts the packets that the client sent
-    again since its upstream last answered. ``load_met`` is the load per slot
-    that the request at work found.
+    while there is none. ``load_met`` is the load per slot that the request at
+    work found.
     """
 
     state: upstreams.UpstreamState
@@ -36,7 +35,6 @@
     sequence: int
     seen_at: float
     waiting_since: float = math.inf
-    repeats: int = 0
     requests: int = 0
     load_met: float = 0.0
     ended: bool = False
@@ -99,10 +97,8 @@
         if flow is not None:
             _end_request(flow, now)
 
-    def expire(
-        self, now: float, *, idle_s: float, request_s: float
-    ) -> list[packets.FlowKey]:
-        """Forget idle flows and requests without answer; return the flows.
+    def expire(self, now: float, *, idle_s: float, request_s: float) -> None:
+        """Forget idle flows and requests without answer.
 
         A flow is idle after ``idle_s``; a request is given up after
         ``request_s``.
@@ -116,7 +112,6 @@
                 _end_request(flow, now)
         for key in idle:
             self.remove(key, now)
-        return idle
 
     def _start(
         self,
@@ -138,7 +133,6 @@
         if not _is_after(packet.acknowledged, flow.acknowledged):
             return -1.0
         flow.acknowledged = packet.acknowledged
-        flow.repeats = 0
         flow.state.note_answer(now)
         if flow.waiting_since == math.inf:
             return -1.0
@@ -151,7 +145,6 @@
     ) -> bool:
         """Note data; return whether a request begins with it."""
         if not _is_after(packet.sequence, flow.sequence):
-            flow.repeats += 1
             return False
         flow.sequence = packet.sequence
         if flow.ended:
--- a/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
@@ -28,7 +28,7 @@
 # An upstream's last answers may be acknowledged so long after its entry is
 # gone, in seconds: round trips, and a client's own delay.
 LAST_ANSWER_S = 0.1
-# Flows that a VM observes: a few KB each would not fit 25 MB.
+# Flows that a VM observes: at 365 B each they take 7.3 of its 25 MB.
 FLOW_LIMIT = 20_000
 OPENING_LIMIT = 5_000
 
@@ -106,7 +106,7 @@
         key = packet.key
         state = self._catalogue.by_tag.get(packet.tag)
         if len(self.openings):
-            state = self._settle_opening(packet, state, now)
+            self._settle_opening(packet, state, now)
         known = self.flows.get(key)
         if known is not None and known.requests and state is not known.state:
             # A late answer to a copy of the opening changed the tag.
@@ -131,14 +131,12 @@
         packet: packets.FlowPacket,
         state: upstreams.UpstreamState | None,
         now: float,
-    ) -> upstreams.UpstreamState | None:
+    ) -> None:
         """Note that an opening was answered, at the first packet after it."""
         opening = self.openings.settle(packet.key, now)
-        if opening is None or state is None:
-            return state
-        state.note_answer(now)
-        self.opening_latency.record(now - opening.first_sent_at)
-        return state
+        if opening is not None and state is not None:
+            state.note_answer(now)
+            self.opening_latency.record(now - opening.first_sent_at)
 
     def _note_request(
         self,
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
@@ -81,17 +81,13 @@
         heartbeat = self._build_heartbeat(
             now, loads=full or len(hosts) <= SMALL_FLEET, members=full
         )
-        for host in chosen:
-            self._send_message(heartbeat, host)
-        if unknown and len(hosts) < members_module.FANOUT:
-            for host in unknown:
-                self._send_message(heartbeat, host)
+        if len(hosts) < members_module.FANOUT:
+            chosen = [*chosen, *unknown]
+        self._send_to_all(heartbeat, chosen)
 
     def announce_configuration(self, now: float) -> None:
         """Pass the configuration in force on at once."""
-        heartbeat = self._build_heartbeat(now)
-        for host in self._choose_hosts(now):
-            self._send_message(heartbeat, host)
+        self._send_to_all(self._build_heartbeat(now), self._choose_hosts(now))
 
     def announce_changes(
         self, changes: records.UpstreamChanges, now: float
@@ -104,8 +100,7 @@
             # Too much for a datagram: peers ask for a snapshot.
             self.announce_configuration(now)
             return
-        for host in self._choose_hosts(now):
-            self._send_message(notice, host)
+        self._send_to_all(notice, self._choose_hosts(now))
 
     def receive(self, raw: bytes, host: str, now: float) -> None:
         """Take a datagram from a peer."""
@@ -366,9 +361,15 @@
         return hosts
 
     def _send_message(self, message: messages.Message, host: str) -> None:
+        self._send_to_all(message, (host,))
+
+    def _send_to_all(
+        self, message: messages.Message, hosts: typing.Sequence[str]
+    ) -> None:
         raw = messages.encode_message(message)
-        self._counters[_Count.PEER_BYTES] += len(raw)
-        self._send(raw, host)
+        self._counters[_Count.PEER_BYTES] += len(raw) * len(hosts)
+        for host in hosts:
+            self._send(raw, host)
 
 
 def _age_ms(confirmed_at: float, now: float) -> int:
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/reader.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/reader.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import math
 import random
 import typing
 
@@ -74,7 +73,6 @@
         self._random: typing.Final = source
         self._failures = 0
         self._skipped: set[records.SkippedEntry] = set()
-        self.reached_at = -math.inf
 
     def replace_store(self, store: 'hooks.MetadataStore') -> None:
         """Read from another store from now on."""
@@ -134,7 +132,6 @@
         if self._failures:
             self._events.emit('store_regained', failures=self._failures)
         self._failures = 0
-        self.reached_at = self._clock.read_monotonic()
 
     async def _read_configuration(self) -> None:
         asked_at = self._clock.read_monotonic()
--- a/packages/savoryhaven/src/_savoryhaven/operation/node.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/node.py
@@ -7,7 +7,6 @@
 import signal
 import typing
 
-
 from _savoryhaven import addresses
 from _savoryhaven.datapath import forwarder as forwarder_module
 from _savoryhaven.datapath import packets
--- a/packages/savoryhaven/src/_savoryhaven/placement/upstreams.py
+++ b/packages/savoryhaven/src/_savoryhaven/placement/upstreams.py
@@ -53,7 +53,7 @@
     @property
     def load(self) -> float:
         """Return the requests at work, those of peers included."""
-        return self.outstanding + self.opening + self.reported_load
+        return self.at_work + self.reported_load
 
     def update_averages(self, now: float) -> None:
         """Bring the averages up to a time; call before the load changes."""
