Let a joining VM introduce itself before it serves

Block 3 of a download that b2 had placed at plan-1 came to b1 at 26.313 s, which placed it at plan-2. Ruled out: a changed source port at the fabric (each caller keeps one socket there). Change: after it has members and document, a VM asks the seeds that answered once more, as one that is about to own buckets, and they note it. Of two VMs that start together the later one learns of the earlier one there, and claims its flows.

--- a/packages/savoryhaven-ctl/src/_savoryhaven_ctl/commands.py
+++ b/packages/savoryhaven-ctl/src/_savoryhaven_ctl/commands.py
@@ -24,6 +24,7 @@
 from _savoryhaven.tracking import schema
 from _savoryhaven.tracking import settings
 from _savoryhaven_ctl import editing
+from _savoryhaven_ctl import explaining
 from _savoryhaven_ctl import fleet
 
 PLATFORM_VARIABLE = 'SAVORYHAVEN_PLATFORM'
@@ -376,6 +377,7 @@
         StatusCommand(),
         DumpCommand(),
         DrainCommand(),
+        explaining.ExplainCommand(),
         completions_command.CompletionsCommand(),
     ):
         app.add(command)
--- a/packages/savoryhaven-standins/src/savoryhaven_standins/fakes.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/fakes.py
@@ -409,9 +409,19 @@
             if vm_id.startswith(domain)
         ]
 
-    def start_vm(self, vm_id: str, domain: str) -> vm_module.Vm:
+    def start_vm(
+        self,
+        vm_id: str,
+        domain: str,
+        *,
+        seeds: typing.Collection[str] | None = None,
+    ) -> vm_module.Vm:
+        """Start a VM; its seeds are all VMs so far, or those named."""
         host = self._hosts.setdefault(vm_id, f'10.0.0.{len(self._hosts) + 1}')
-        seeds = [f'{h}:7946' for h in self._hosts.values() if h != host]
+        names = self._hosts if seeds is None else seeds
+        seed_addresses = [
+            f'{self._hosts[name]}:7946' for name in names if name != vm_id
+        ]
         settings = settings_module.parse_settings(
             json.dumps(
                 {
@@ -422,7 +432,7 @@
                     'operator_address': f'{host}:8080',
                     'fabric_address': str(FABRIC),
                     'platform': {'url': 'http://fake'},
-                    'seeds': seeds,
+                    'seeds': seed_addresses,
                     **self._tune,
                 }
             )
--- a/packages/savoryhaven/src/_savoryhaven/tracking/configuration.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/configuration.py
@@ -329,17 +329,24 @@
         fetch = self._make_fetch(members=members)
         self.take_update(await self._request(vm_id, fetch), vm_id)
 
-    def _make_fetch(self, *, members: bool) -> messages.Fetch:
+    def _make_fetch(
+        self, *, members: bool, joining: bool = False
+    ) -> messages.Fetch:
         context = self._context
         return messages.Fetch(
             context.members.me,
             context.routing.generation,
             context.routing.list_revision,
             members,
+            joining,
         )
 
     def make_join(self) -> messages.Fetch:
         """Return the message that asks a peer for all it knows."""
+        return self._make_fetch(members=True, joining=True)
+
+    def make_introduction(self) -> messages.Fetch:
+        """Return the same, from a VM that is about to own buckets."""
         return self._make_fetch(members=True)
 
     def take_update(self, update: messages.Message, source: str) -> None:
--- a/packages/savoryhaven/src/_savoryhaven/tracking/messages.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/messages.py
@@ -160,12 +160,17 @@
 
 @attrs.frozen
 class Fetch:
-    """Asks for what is newer than the sender's own knowledge."""
+    """Asks for what is newer than the sender's own knowledge.
+
+    ``members`` asks for all members as well. A sender that is ``joining``
+    can't own anything yet.
+    """
 
     sender: MemberRecord
     generation: int
     list_revision: int
     members: bool
+    joining: bool
 
 
 @attrs.frozen
--- a/packages/savoryhaven/src/_savoryhaven/tracking/vm.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/vm.py
@@ -162,7 +162,11 @@
         await self._client.close()
 
     async def _join(self) -> None:
-        """Learn the members and the document before serving anything."""
+        """Learn the members and the document before serving anything.
+
+        Of VMs that start together, each introduces itself to the seeds last:
+        whoever does so after another one learns of it from them.
+        """
         context = self.context
         seeds = [
             seed
@@ -170,21 +174,24 @@
             if seed != self.settings.peer_address
         ]
         started_at = context.clock.read_monotonic()
-        joined = False
+        joined: list[str] = []
         while not self._stopping.is_set():
             for seed in seeds:
-                joined = await self._join_through(seed) or joined
+                message = self.configuration.make_join()
+                if await self._ask_seed(seed, message) and seed not in joined:
+                    joined.append(seed)
             waited = context.clock.read_monotonic() - started_at
             complete = joined or not seeds or waited > JOIN_TIMEOUT_S
             if complete and await self._has_document():
                 break
             await asyncio.sleep(JOIN_RETRY_S)
+        for seed in joined:
+            await self._ask_seed(seed, self.configuration.make_introduction())
 
-    async def _join_through(self, seed: str) -> bool:
+    async def _ask_seed(self, seed: str, message: messages.Fetch) -> bool:
+        """Take in what a seed knows; return whether it answered."""
         try:
-            update = await self._peers.request_at(
-                seed, self.configuration.make_join()
-            )
+            update = await self._peers.request_at(seed, message)
             self.configuration.take_update(update, seed)
         except errors.SavoryhavenError as exc:
             logger.debug('seed {} does not help: {}', seed, exc)
@@ -253,8 +260,7 @@
         now = self.context.clock.read_monotonic()
         match message:
             case messages.Fetch(sender):
-                if not message.members:
-                    # One that is still joining can't own anything yet.
+                if not message.joining:
                     self.context.members.merge(sender, now)
                 return self.configuration.answer_fetch(message)
             case messages.Claim(sender):
--- a/packages/savoryhaven/tests/test_messages.py
+++ b/packages/savoryhaven/tests/test_messages.py
@@ -31,7 +31,7 @@
     messages.CopyOffer(1, 'a1', (FLOW,), (TOMBSTONE,)),
     messages.CopyAck(1),
     messages.LoadReport('a1', {'x': 1}, ('x',), {'x': 0.5}),
-    messages.Fetch(RECORD, 1, 2, True),
+    messages.Fetch(RECORD, 1, 2, True, False),
     messages.Update(CHANGE, 1, ('x',), ('b',), (RECORD,)),
     messages.FlowCopies(
         'a1', 1, ('x',), True, (FLOW,), (TOMBSTONE,),
--- a/packages/savoryhaven/tests/test_vm.py
+++ b/packages/savoryhaven/tests/test_vm.py
@@ -44,3 +44,18 @@
         timeout_s = cluster.vms['a1'].settings.stop.timeout_s
         await cluster.stop('a1')
         assert loop.time() - started_at <= timeout_s + 0.1
+
+
+@fakes.run_virtually
+async def test_a_vm_knows_all_that_served_before_it_when_it_begins() -> None:
+    # VMs that start together share a seed only. One that did not know of an
+    # owner would decide about that owner's flows by itself.
+    async with fakes.Cluster(seed=63, domains={'a': 1}) as cluster:
+        await cluster.apply(fakes.make_document())
+        first = cluster.start_vm('b2', 'b', seeds=['a1'])
+        while not first.context.serving:
+            await asyncio.sleep(0.001)
+        second = cluster.start_vm('b1', 'b', seeds=['a1'])
+        while not second.context.serving:
+            await asyncio.sleep(0.001)
+        assert second.context.members.get('b2') is not None
