Explain one request from logs: savoryhavenctl explain

It reads log files or standard input, finds the request by its id or flow, shows the events of its flow and of the VMs and upstreams around it, and says what follows.

--- /dev/null
+++ b/packages/savoryhaven-ctl/tests/test_stories.py
@@ -0,0 +1,149 @@
+"""Stories of single requests, told from the logs of VMs."""
+
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+import typing
+
+from _savoryhaven_ctl import stories
+
+FLOW = '100.65.0.13:1047>198.18.0.1:8080'
+BEGAN = 1_787_457_970.0
+
+
+def make_line(name: str, after_s: float, **fields: typing.Any) -> str:
+    """Return a log line of the VM ``a1``."""
+    line = {'event': name, 'at': BEGAN + after_s, 'vm': 'a1', **fields}
+    return json.dumps(line)
+
+
+def make_request(after_s: float = 0.0, **fields: typing.Any) -> str:
+    """Return the line of a forwarded request."""
+    named = {'request_id': 'c4', 'flow': FLOW, 'upstream': 'i-1'}
+    return make_line('request_forwarded', after_s, **(named | fields))
+
+
+def make_removal(after_s: float, **fields: typing.Any) -> str:
+    """Return the line of an upstream's end."""
+    named = {'upstream': 'i-1', 'lapsed': False}
+    return make_line('upstream_removed', after_s, **(named | fields))
+
+
+def tell(*lines: str, about: str = 'c4') -> stories.Story:
+    """Return a story from lines."""
+    return stories.tell_story(stories.parse_events(lines), about)
+
+
+def list_texts(story: stories.Story) -> list[str]:
+    """Return the conclusions of a story."""
+    return [conclusion.text for conclusion in story.conclusions]
+
+
+def test_lines_are_found_behind_what_a_collector_adds() -> None:
+    noise = ['', 'no json', '{"at": 1}', '{broken', '[1]']
+    lines = [f'  1.5 host-7 {make_request()}', *noise]
+    (event,) = stories.parse_events(lines)
+    assert (event.name, event.vm, event.at) == (
+        'request_forwarded',
+        'a1',
+        BEGAN,
+    )
+
+
+def test_a_request_is_told_from_its_opening_on() -> None:
+    opened = make_line('flow_opened', -0.02, flow=FLOW, upstream='i-1')
+    story = tell(make_request(), opened)
+    assert [event.name for event in story.events] == [
+        'flow_opened',
+        'request_forwarded',
+    ]
+    assert story.flows == (FLOW,)
+    assert not story.conclusions
+
+
+def test_a_later_flow_from_the_same_port_is_another_story() -> None:
+    story = tell(make_request(), make_request(60.0, request_id='d5'))
+    assert len(story.events) == 1
+
+
+def test_the_beginning_of_a_flow_is_enough() -> None:
+    assert tell(make_request(), about='100.65.0.13:').events
+    assert not tell(make_request(), about='100.65.0.14:').events
+    assert not tell(make_request(), about='c').events
+
+
+def test_an_upstream_that_vanished_with_the_request_is_named() -> None:
+    (text,) = list_texts(tell(make_request(), make_removal(3.4)))
+    assert text.startswith('upstream i-1 vanished 3.4 s after')
+
+
+def test_an_upstream_that_drained_has_left() -> None:
+    drained = make_line('upstream_updated', 0.5, upstream='i-1', draining=True)
+    (text,) = list_texts(tell(make_request(), drained, make_removal(3.0)))
+    assert text.startswith('upstream i-1 left 3.0 s after')
+
+
+def test_an_entry_that_only_lapsed_is_no_end() -> None:
+    assert not tell(make_request(), make_removal(3.4, lapsed=True)).conclusions
+
+
+def test_a_refusal_says_that_nothing_has_run() -> None:
+    for reason, word in (
+        ('an answer is expected after 0.147 s', 'overload'),
+        ('no such route', 'refused'),
+    ):
+        line = make_line('opening_refused', 0.0, flow=FLOW, reason=reason)
+        (text,) = list_texts(tell(line, about=FLOW))
+        assert word in text
+        assert 'nothing has run' in text
+
+
+def test_what_was_wrong_with_the_vm_is_told() -> None:
+    lost = make_line('store_lost', 0.5, code='SH301')
+    paused = make_line('paused', 1.0, for_s=1.2)
+    later = make_line('store_lost', 9.0, code='SH301')
+    assert list_texts(tell(make_request(), lost, paused, later)) == [
+        'a1 lost the store (SH301)',
+        'a1 did not run for 1.2 s',
+    ]
+
+
+def test_lines_that_were_left_out_are_mentioned() -> None:
+    (text,) = list_texts(tell(make_request(left_out_before=7)))
+    assert text == '7 lines of request_forwarded were left out before'
+
+
+def run_explain(
+    *words: str, lines: str = ''
+) -> subprocess.CompletedProcess[str]:
+    """Run the command as an operator does."""
+    binary = pathlib.Path(sys.executable).parent / 'savoryhavenctl'
+    return subprocess.run(
+        [binary, 'explain', *words],
+        input=lines,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+def test_the_command_reads_files_and_standard_input() -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        log = pathlib.Path(folder) / 'a1.log'
+        log.write_text(make_request())
+        named = run_explain('c4', str(log))
+    piped = run_explain('c4', '--json', lines=make_request())
+    assert named.returncode == piped.returncode == 0
+    assert 'no VM saw anything wrong with it' in named.stdout
+    assert json.loads(piped.stdout)['flows'] == [FLOW]
+
+
+def test_the_command_says_what_to_do_about_nothing() -> None:
+    unknown = run_explain('c4', lines=make_line('started', 0.0))
+    assert unknown.returncode == 1
+    assert 'SH510' in unknown.stderr
+    unreadable = run_explain('c4', '/nowhere')
+    assert unreadable.returncode == 1
+    assert 'SH508' in unreadable.stderr
