End what the soak and the demo started when they get SIGTERM

Cause: both left their processes running when ended by SIGTERM, and the next run found its addresses taken.

--- a/packages/savoryhaven-standins/src/savoryhaven_standins/demo.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/demo.py
@@ -276,6 +276,8 @@
         '--seconds', type=float, default=10.0, help='length of a scene'
     )
     options = parser.parse_args(words)
+    # What was started here has to end however this process is ended.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     with contextlib.suppress(KeyboardInterrupt):
         return asyncio.run(run_demo(options))
     return 1
--- a/packages/savoryhaven-standins/src/savoryhaven_standins/soak.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/soak.py
@@ -374,6 +374,8 @@
     parser.add_argument('--seconds', type=float, default=20.0)
     parser.add_argument('--vms', type=int, default=VMS)
     chosen = parser.parse_args()
+    # What was started here has to end however this process is ended.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     first, _, last = chosen.seeds.partition('-')
     failed = []
     for seed in range(int(first), int(last or first) + 1):
