--- a/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
@@ -227,7 +227,7 @@
         """
         self._counters[_Count.DROPPED_WAITED] += 1
         self._emit_opening(
-            'opening_dropped', packet, 'it waited while paused', now
+            'opening_dropped', packet, now, reason='it waited while paused'
         )
 
     def _receive_opening(self, packet: packets.FlowPacket, now: float) -> None:
@@ -310,17 +310,14 @@
             self.openings.move(opening, state, now)
             self._counters[_Count.MOVED] += 1
         self._send_opening(packet, state)
-        self._events.emit(
+        self._emit_opening(
             'flow_opened' if opening is None else 'opening_moved',
-            flow=packets.format_flow(packet.key),
-            copy=packet.acknowledged,
+            packet,
+            now,
             route=route.name,
             upstream=state.upstream.upstream_id,
             cost=round(choice.cost, 3),
             candidates=choice.candidates,
-            configuration=self._routes.version,
-            catalogue_revision=self._catalogue.revision,
-            catalogue_age_s=round(now - self._catalogue.confirmed_at, 3),
         )
 
     def _send_opening(
@@ -354,7 +351,7 @@
         self, packet: packets.FlowPacket, reason: str, now: float
     ) -> None:
         self._counters[_Count.DROPPED_UNINFORMED] += 1
-        self._emit_opening('opening_dropped', packet, reason, now)
+        self._emit_opening('opening_dropped', packet, now, reason=reason)
 
     def _refuse(
         self, packet: packets.FlowPacket, reason: str, now: float
@@ -364,16 +361,21 @@
             self._codec.encode_reset(packet), packet.key
         )
         self._counters[_Count.REFUSED] += 1
-        self._emit_opening('opening_refused', packet, reason, now)
+        self._emit_opening('opening_refused', packet, now, reason=reason)
 
     def _emit_opening(
-        self, name: str, packet: packets.FlowPacket, reason: str, now: float
+        self,
+        name: str,
+        packet: packets.FlowPacket,
+        now: float,
+        **outcome: typing.Any,
     ) -> None:
+        """Log a decision about an opening, and how old its inputs are."""
         self._events.emit(
             name,
-            reason=reason,
             flow=packets.format_flow(packet.key),
             copy=packet.acknowledged,
+            **outcome,
             configuration=self._routes.version,
             configuration_age_s=round(now - self._routes.confirmed_at, 3),
             catalogue_revision=self._catalogue.revision,
