Let a starting VM introduce itself to listed VMs as well

Change: before it serves, a VM asks the first three entry VMs of the platform's list too, the same for all, and waits 0.3 s at most.

--- a/packages/savoryhaven/src/_savoryhaven/tracking/configuration.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/configuration.py
@@ -36,6 +36,9 @@
 SLOW_LIST_INTERVAL_S = 30.0
 # A watch can go silent, so the document is also read at this interval.
 READ_INTERVAL_S = 1.0
+# Listed VMs that a starting one introduces itself to: one may be dead and
+# one just starting, and the third brings them together.
+MEETING_POINTS = 3
 RETRY_MIN_S = 0.2
 RETRY_MAX_S = 5.0
 # A failure domain without VMs on the platform's list counts as gone after
@@ -254,6 +257,23 @@
             if vm.role == 'entry' and vm.address not in known:
                 self._meet(vm.address)
 
+    async def list_meeting_points(self) -> list[str]:
+        """Return the listed VMs that every starting VM introduces itself to.
+
+        Nothing if the platform does not answer: seeds have to do then.
+        """
+        me = self._context.members.me
+        self._context.counters[_Count.PLATFORM_CALLS] += 1
+        try:
+            _, vms = await self._client.list_vms()
+        except errors.PlatformError as exc:
+            self._context.counters[_Count.PLATFORM_FAILED] += 1
+            logger.warning('joining without the list of VMs: {}', exc)
+            return []
+        listed = sorted(vm.address for vm in vms if vm.role == 'entry')
+        others = [address for address in listed if address != me.peer_address]
+        return others[:MEETING_POINTS]
+
     def _note_gone_domains(
         self, vms: list[hooks.PlatformVm], now: float
     ) -> None:
--- a/packages/savoryhaven/src/_savoryhaven/tracking/vm.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/vm.py
@@ -26,6 +26,9 @@
 
 JOIN_TIMEOUT_S = 5.0
 JOIN_RETRY_S = 0.1
+# Listed VMs may be dead. Living ones answer within two round trips of some
+# 10 ms; callers wait meanwhile.
+INTRODUCTION_S = 0.3
 SWEEP_INTERVAL_S = 0.2
 SWEEP_FLOWS = 5_000
 OVERDUE_INTERVAL_S = 0.05
@@ -162,11 +165,7 @@
         await self._client.close()
 
     async def _join(self) -> None:
-        """Learn the members and the document before serving anything.
-
-        Of VMs that start together, each introduces itself to the seeds last:
-        whoever does so after another one learns of it from them.
-        """
+        """Learn the members and the document before serving anything."""
         context = self.context
         seeds = [
             seed
@@ -185,8 +184,24 @@
             if complete and await self._has_document():
                 break
             await asyncio.sleep(JOIN_RETRY_S)
-        for seed in joined:
-            await self._ask_seed(seed, self.configuration.make_introduction())
+        await self._introduce(joined)
+
+    async def _introduce(self, seeds: list[str]) -> None:
+        """Say that this VM is about to own buckets, where all others do.
+
+        Of VMs that start together, the one that comes later learns there of
+        those that came before it.
+        """
+        listed = await self.configuration.list_meeting_points()
+        message = self.configuration.make_introduction()
+        asked = [
+            asyncio.create_task(self._ask_seed(address, message))
+            for address in dict.fromkeys((*seeds, *listed))
+        ]
+        if asked:
+            await asyncio.wait(asked, timeout=INTRODUCTION_S)
+        for task in asked:
+            task.cancel()
 
     async def _ask_seed(self, seed: str, message: messages.Fetch) -> bool:
         """Take in what a seed knows; return whether it answered."""
--- a/packages/savoryhaven/tests/test_vm.py
+++ b/packages/savoryhaven/tests/test_vm.py
@@ -4,6 +4,7 @@
 
 from nose2.tools import params
 
+from _savoryhaven.tracking import vm
 from savoryhaven_standins import fakes
 
 
@@ -59,3 +60,29 @@
         while not second.context.serving:
             await asyncio.sleep(0.001)
         assert second.context.members.get('b2') is not None
+
+
+@fakes.run_virtually
+async def test_a_vm_without_seeds_meets_the_others_through_the_list() -> None:
+    async with fakes.Cluster(seed=64, domains={'a': 1}) as cluster:
+        await cluster.apply(fakes.make_document())
+        alone = cluster.start_vm('b1', 'b', seeds=[])
+        while not alone.context.serving:
+            await asyncio.sleep(0.001)
+        assert alone.context.members.get('a1') is not None
+
+
+@fakes.run_virtually
+async def test_a_dead_vm_on_the_list_delays_a_start_little() -> None:
+    async with fakes.Cluster(seed=65, domains={'a': 2}) as cluster:
+        await cluster.apply(fakes.make_document())
+        hosts = cluster.list_hosts('')
+        late = cluster.start_vm('b1', 'b', seeds=['a2'])
+        cluster.network.cut(
+            [cluster.get_host('a1')], [*hosts, cluster.get_host('b1')]
+        )
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        while not late.context.serving:
+            await asyncio.sleep(0.001)
+        assert loop.time() - started_at < vm.INTRODUCTION_S + 0.1
