--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,8 @@
 
 demo: $(READY)
 	$(BIN)/python -m savoryhaven_standins.demo $(ARGS)
+	$(BIN)/python -m savoryhaven_standins.experiments \
+		experiments/evening.json --report target/evening.html
 
 test: $(READY)
 	PYTHONHASHSEED=0 LOGURU_LEVEL=ERROR $(BIN)/python -m nose2 -v $(ARGS)
--- /dev/null
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: described days, played on real VMs, and their reports."""
--- /dev/null
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/experiments/__main__.py
@@ -0,0 +1,71 @@
+"""Plays a day and writes its report; see ``days`` for the fields of a day.
+
+python -m savoryhaven_standins.experiments days/evening.json --report r.html
+"""
+
+import argparse
+import asyncio
+import pathlib
+import signal
+import sys
+import typing
+
+from rich import console as rich_console
+from rich import table as rich_table
+
+from _savoryhaven import errors
+from savoryhaven_standins.experiments import days
+from savoryhaven_standins.experiments import play
+from savoryhaven_standins.experiments import report
+
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+PLAIN_WIDTH = 140
+
+
+def main(words: typing.Sequence[str] | None = None) -> int:
+    """Play a day; returns 1 if a promise was broken, 2 for a bad day."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument('day', type=pathlib.Path, help='JSON file of the day')
+    parser.add_argument(
+        '--report', type=pathlib.Path, help='where to write the HTML page'
+    )
+    parser.add_argument(
+        '--seed', type=int, help='another seed than the day\'s'
+    )
+    chosen = parser.parse_args(words)
+    # What was started here has to end however this process is ended.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    try:
+        day = days.read_day(chosen.day)
+    except errors.SettingsError as exc:
+        print(exc, file=sys.stderr)
+        return EXIT_USAGE
+    if chosen.seed is not None:
+        day = days.change_seed(day, chosen.seed)
+    result = asyncio.run(play.Player(day).run())
+    _print_table(result)
+    if chosen.report is not None:
+        page = report.build_page(result, chosen.day.stem)
+        chosen.report.parent.mkdir(parents=True, exist_ok=True)
+        chosen.report.write_text(page)
+        print(f'report: {chosen.report}')
+    return EXIT_FAILED if result.strays or result.ran_again else 0
+
+
+def _print_table(result: play.Result) -> None:
+    shown = rich_table.Table(*report.HEAD)
+    for row in report.build_rows(result):
+        shown.add_row(*row)
+    console = rich_console.Console()
+    if not console.is_terminal:
+        console.width = PLAIN_WIDTH
+    console.print(shown)
+    for name in result.strays:
+        print(f'a packet reached a wrong host: {name}')
+    for name in result.ran_again:
+        print(f'{name} ran more than once')
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/experiments/days.py
@@ -0,0 +1,219 @@
+"""Descriptions of days: JSON with comments, checked.
+
+{
+  "seconds": 20, "vms": 3, "arrivals_per_s": 30,
+  "hosts": {"desk": 4, "vault": 2},
+  "faults": [{"what": "kill_vm", "at_s": 5, "vm": "vm-1", "for_s": 2}],
+}
+"""
+
+import pathlib
+import typing
+
+import attrs
+import cattrs
+import cattrs.v
+import json5
+
+from _savoryhaven import errors
+from savoryhaven_standins.users_platform import proxy
+from savoryhaven_standins.users_platform import store
+
+# A VM is a process of about 25 MB; a few hundred fit into half of a machine.
+VMS_MAX = 200
+SECONDS_MAX = 3_600.0
+
+
+@attrs.frozen(kw_only=True)
+class Fault:
+    """Something that happens ``at_s`` and lasts ``for_s`` seconds."""
+
+    at_s: float = attrs.field(validator=attrs.validators.ge(0.0))
+    for_s: float = attrs.field(default=0.0, validator=attrs.validators.ge(0.0))
+
+
+@attrs.frozen(kw_only=True)
+class KillVm(Fault):
+    """A VM's process is killed, and started again after ``for_s``."""
+
+    vm: str
+
+
+@attrs.frozen(kw_only=True)
+class StopVm(Fault):
+    """A VM is stopped as planned, and started again after ``for_s``."""
+
+    vm: str
+
+
+@attrs.frozen(kw_only=True)
+class PauseVm(Fault):
+    """A VM's process does not run."""
+
+    vm: str
+
+
+@attrs.frozen(kw_only=True)
+class SpoilLink(Fault):
+    """Connections of a VM to the store are delayed, reset or silenced."""
+
+    vm: str
+    link: proxy.Link
+
+
+@attrs.frozen(kw_only=True)
+class SpoilStore(Fault):
+    """The store is silent, slow or busy."""
+
+    mode: store.Mode
+
+
+@attrs.frozen(kw_only=True)
+class CrashHost(Fault):
+    """A host crashes, and starts again under its id after ``for_s``."""
+
+    service: str
+
+
+@attrs.frozen(kw_only=True)
+class DrainHost(Fault):
+    """A host drains for ``for_s``, and leaves."""
+
+    service: str
+
+
+@attrs.frozen(kw_only=True)
+class LosePackets(Fault):
+    """A share of the clients' packets gets lost."""
+
+    share: float = attrs.field(
+        validator=(attrs.validators.ge(0.0), attrs.validators.le(1.0))
+    )
+
+
+@attrs.frozen(kw_only=True)
+class Burst(Fault):
+    """So many times as many callers come."""
+
+    factor: float = attrs.field(validator=attrs.validators.gt(0.0))
+
+
+AnyFault = (
+    KillVm
+    | StopVm
+    | PauseVm
+    | SpoilLink
+    | SpoilStore
+    | CrashHost
+    | DrainHost
+    | LosePackets
+    | Burst
+)
+KINDS: typing.Final[dict[str, type[Fault]]] = {
+    'kill_vm': KillVm,
+    'stop_vm': StopVm,
+    'pause_vm': PauseVm,
+    'spoil_link': SpoilLink,
+    'spoil_store': SpoilStore,
+    'crash_host': CrashHost,
+    'drain_host': DrainHost,
+    'lose_packets': LosePackets,
+    'burst': Burst,
+}
+
+
+@attrs.frozen(kw_only=True)
+class Day:
+    """A site, its callers, and what happens to it.
+
+    A flow carries one to ``requests_max`` requests, each of which takes a
+    host ``work_s`` in one of its ``slots``.
+    """
+
+    seconds: float = attrs.field(
+        validator=(
+            attrs.validators.gt(0.0),
+            attrs.validators.le(SECONDS_MAX),
+        )
+    )
+    seed: int = 1
+    vms: int = attrs.field(
+        default=3,
+        validator=(attrs.validators.ge(1), attrs.validators.le(VMS_MAX)),
+    )
+    hosts: dict[str, int] = attrs.field(
+        factory=lambda: {'desk': 4, 'vault': 2}
+    )
+    slots: int = attrs.field(default=3, validator=attrs.validators.ge(1))
+    work_s: float = attrs.field(
+        default=0.05, validator=attrs.validators.ge(0.0)
+    )
+    arrivals_per_s: float = attrs.field(
+        default=20.0, validator=attrs.validators.gt(0.0)
+    )
+    requests_max: int = attrs.field(
+        default=4, validator=attrs.validators.ge(1)
+    )
+    faults: tuple[AnyFault, ...] = ()
+
+
+def read_day(path: pathlib.Path) -> Day:
+    """Return the day in a file; raises ``SettingsError`` ``SH110``."""
+    try:
+        return parse_day(path.read_text())
+    except (OSError, UnicodeDecodeError) as exc:
+        raise _fail(f'{path} can not be read: {exc}') from exc
+
+
+def parse_day(text: str) -> Day:
+    """Return the day in a text; raises ``SettingsError`` ``SH110``.
+
+    >>> parse_day('{"seconds": 5, "faults": []}').vms
+    3
+    """
+    try:
+        return _CONVERTER.structure(json5.loads(text), Day)
+    except cattrs.BaseValidationError as exc:
+        said = cattrs.transform_error(exc, format_exception=_format_cause)
+        raise _fail('; '.join(said)) from exc
+    except (ValueError, TypeError) as exc:
+        raise _fail(str(exc)) from exc
+
+
+def change_seed(day: Day, seed: int) -> Day:
+    """Return the same day with other choices of callers."""
+    return attrs.evolve(day, seed=seed)
+
+
+def _structure_fault(value: typing.Any, _: typing.Any) -> Fault:
+    fields = dict(value)
+    kind = KINDS.get(fields.pop('what', None))
+    if kind is None:
+        raise ValueError(f'"what" is none of {", ".join(KINDS)}')
+    return _CONVERTER.structure(fields, kind)
+
+
+def _format_cause(cause: BaseException, kind: type | None) -> str:
+    """Return what a check said, or else what the library makes of it."""
+    if type(cause) is ValueError:
+        return str(cause)
+    return cattrs.v.format_exception(cause, kind)
+
+
+def _make_converter() -> cattrs.Converter:
+    converter = cattrs.Converter(forbid_extra_keys=True)
+    converter.register_structure_hook(AnyFault, _structure_fault)
+    return converter
+
+
+_CONVERTER: typing.Final = _make_converter()
+
+
+def _fail(message: str) -> errors.SettingsError:
+    return errors.SettingsError(
+        errors.Problem(
+            code='SH110',
+            message=message,
+            hint='the fields are in savoryhaven_standins.experiments.days',
+        )
+    )
--- /dev/null
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/experiments/play.py
@@ -0,0 +1,292 @@
+"""Plays a day: real VMs before the stand-in of the users' platform."""
+
+import asyncio
+import collections
+import enum
+import random
+import signal
+import typing
+
+import attrs
+
+from savoryhaven_standins.experiments import days
+from savoryhaven_standins.users_platform import clients as clients_module
+from savoryhaven_standins.users_platform import hosts as hosts_module
+from savoryhaven_standins.users_platform import proxy
+from savoryhaven_standins.users_platform import site as site_module
+from savoryhaven_standins.users_platform import store
+
+# Addresses that callers come from.
+CLIENTS = 24
+SAMPLE_S = 0.2
+# A caller pauses between two requests of a flow for so long at most.
+PAUSE_MAX_S = 0.3
+SERVICES: typing.Final = {
+    'desk': site_module.DESK,
+    'vault': site_module.VAULT,
+}
+
+
+class Ending(enum.Enum):
+    """How a caller's request ended."""
+
+    SERVED = 'served'
+    LATE = 'late'
+    REFUSED = 'refused at once'
+    UNANSWERED = 'opening unanswered'
+    RESET = 'flow reset'
+    MIXED = 'wrong answer'
+
+
+@attrs.frozen
+class Request:
+    """One request: when it began, in seconds of the day, and its end."""
+
+    at_s: float
+    service: str
+    ending: Ending
+    latency_s: float
+
+
+@attrs.frozen
+class Sample:
+    """Requests at work at each host, by its name, at a moment."""
+
+    at_s: float
+    loads: typing.Mapping[str, int]
+
+
+@attrs.frozen
+class Span:
+    """Something that happened, from when to when."""
+
+    what: str
+    began_s: float
+    ended_s: float
+
+
+@attrs.frozen
+class Result:
+    """All that a day showed; ``strays`` are packets at a wrong host."""
+
+    day: days.Day
+    requests: list[Request] = attrs.field(factory=list)
+    samples: list[Sample] = attrs.field(factory=list)
+    spans: list[Span] = attrs.field(factory=list)
+    strays: list[str] = attrs.field(factory=list)
+    ran_again: list[str] = attrs.field(factory=list)
+
+
+_ENDINGS: typing.Final = {
+    clients_module.Outcome.SERVED: Ending.SERVED,
+    clients_module.Outcome.LATE: Ending.LATE,
+    clients_module.Outcome.RESET: Ending.RESET,
+    clients_module.Outcome.MIXED: Ending.MIXED,
+}
+
+
+class Player:
+    """One play of one day."""
+
+    def __init__(self, day: days.Day) -> None:
+        self._day: typing.Final = day
+        self._result: typing.Final = Result(day)
+        # Timing is the machine's; what callers and faults choose is not.
+        self._random: typing.Final = random.Random(day.seed)
+        self._site: site_module.Site | None = None
+        self._factor = 1.0
+        self._began_at = 0.0
+        self._serial = 0
+        self._callers: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> Result:
+        """Play the day, and return what callers and hosts saw."""
+        day = self._day
+        async with site_module.Site(
+            vms=day.vms,
+            hosts=0,
+            seed=day.seed,
+            slots=day.slots,
+            work_s=day.work_s,
+        ) as site:
+            self._site = site
+            for service, count in day.hosts.items():
+                for _ in range(count):
+                    await site.add_host(service)
+            await self._play()
+            self._result.strays.extend(site.ledger.strays)
+            runs = site.ledger.ran.items()
+            self._result.ran_again.extend(
+                name for name, count in runs if count > 1
+            )
+        return self._result
+
+    async def _play(self) -> None:
+        self._began_at = asyncio.get_running_loop().time()
+        async with asyncio.TaskGroup() as group:
+            sampling = group.create_task(self._sample())
+            faults = [
+                group.create_task(self._inject(fault))
+                for fault in self._day.faults
+            ]
+            await self._arrive()
+            await asyncio.gather(*faults)
+            await asyncio.gather(*self._callers)
+            sampling.cancel()
+
+    def _read_time(self) -> float:
+        return asyncio.get_running_loop().time() - self._began_at
+
+    async def _sample(self) -> None:
+        while True:
+            loads = {
+                host.name: host.at_work
+                for host in self._site.hosts
+                if host.alive
+            }
+            self._result.samples.append(Sample(self._read_time(), loads))
+            await asyncio.sleep(SAMPLE_S)
+
+    async def _arrive(self) -> None:
+        """Let callers come at random moments until the day is over."""
+        pool = [self._site.add_client() for _ in range(CLIENTS)]
+        services = [name for name in SERVICES if self._day.hosts.get(name)]
+        while self._read_time() < self._day.seconds:
+            rate = self._day.arrivals_per_s * self._factor
+            await asyncio.sleep(self._random.expovariate(rate))
+            caller = asyncio.create_task(
+                self._call(
+                    self._random.choice(pool), self._random.choice(services)
+                )
+            )
+            self._callers.add(caller)
+            caller.add_done_callback(self._callers.discard)
+
+    async def _call(self, client: clients_module.Client, service: str) -> None:
+        """Open a flow and send its requests one after the other."""
+        began_s = self._read_time()
+        flow = await client.open(SERVICES[service])
+        if not flow.is_open:
+            refused = flow.is_refused
+            ending = Ending.REFUSED if refused else Ending.UNANSWERED
+            self._note(began_s, service, ending)
+            return
+        for _ in range(self._random.randint(1, self._day.requests_max)):
+            self._serial += 1
+            outcome = await flow.request(f'r{self._serial}')
+            self._note(began_s, service, _ENDINGS[outcome])
+            if outcome is not clients_module.Outcome.SERVED:
+                break
+            await asyncio.sleep(self._random.uniform(0.0, PAUSE_MAX_S))
+            began_s = self._read_time()
+        await flow.close()
+
+    def _note(self, began_s: float, service: str, ending: Ending) -> None:
+        latency_s = self._read_time() - began_s
+        self._result.requests.append(
+            Request(began_s, service, ending, latency_s)
+        )
+
+    async def _inject(self, fault: days.AnyFault) -> None:
+        await asyncio.sleep(fault.at_s)
+        began_s = self._read_time()
+        what = await self._apply(fault)
+        self._result.spans.append(Span(what, began_s, self._read_time()))
+
+    async def _apply(self, fault: days.AnyFault) -> str:
+        """Let something happen, and undo it; return what it was."""
+        match fault:
+            case days.KillVm() | days.StopVm() | days.PauseVm():
+                return await self._disturb_vm(fault)
+            case days.CrashHost() | days.DrainHost():
+                return await self._disturb_host(fault)
+            case days.SpoilLink() | days.SpoilStore():
+                return await self._disturb_store(fault)
+            case days.LosePackets(share=share):
+                self._site.fabric.loss = share
+                await asyncio.sleep(fault.for_s)
+                self._site.fabric.loss = 0.0
+                return f'{share:.0%} of packets lost'
+            case days.Burst(factor=factor):
+                self._factor *= factor
+                await asyncio.sleep(fault.for_s)
+                self._factor /= factor
+                return f'{factor:g} times the callers'
+
+    async def _disturb_vm(
+        self, fault: days.KillVm | days.StopVm | days.PauseVm
+    ) -> str:
+        processes = self._site.processes
+        match fault:
+            case days.KillVm(vm=vm):
+                await self._end_vm(vm, signal.SIGKILL, fault.for_s)
+                return f'{vm} killed'
+            case days.StopVm(vm=vm):
+                await self._end_vm(vm, signal.SIGTERM, fault.for_s)
+                return f'{vm} stopped'
+            case days.PauseVm(vm=vm):
+                processes.send_signal(vm, signal.SIGSTOP)
+                await asyncio.sleep(fault.for_s)
+                processes.send_signal(vm, signal.SIGCONT)
+                return f'{vm} paused'
+
+    async def _disturb_host(
+        self, fault: days.CrashHost | days.DrainHost
+    ) -> str:
+        host = self._find_host(fault.service)
+        match fault:
+            case days.CrashHost(service=service):
+                host.crash()
+                await asyncio.sleep(fault.for_s)
+                await host.start()
+                return f'{host.name} ({service}) crashed'
+            case days.DrainHost(service=service):
+                await host.drain()
+                await asyncio.sleep(fault.for_s)
+                await host.leave()
+                return f'{host.name} ({service}) drained'
+
+    async def _disturb_store(
+        self, fault: days.SpoilLink | days.SpoilStore
+    ) -> str:
+        match fault:
+            case days.SpoilLink(vm=vm, link=link):
+                spoiled = self._site.proxies[vm]
+                spoiled.link = link
+                if link is proxy.Link.RESET:
+                    spoiled.reset()
+                await asyncio.sleep(fault.for_s)
+                spoiled.link = proxy.Link.GOOD
+                return f'{vm} to store {link.value}'
+            case days.SpoilStore(mode=mode):
+                self._site.store.mode = mode
+                await asyncio.sleep(fault.for_s)
+                self._site.store.mode = store.Mode.UP
+                return f'store {mode.value}'
+
+    async def _end_vm(
+        self, vm: str, number: signal.Signals, length_s: float
+    ) -> None:
+        self._site.processes.send_signal(vm, number)
+        await self._site.processes.wait(vm)
+        await asyncio.sleep(length_s)
+        await self._site.start_vm(vm)
+
+    def _find_host(self, service: str) -> hosts_module.Host:
+        """Return a serving host; raises ``LookupError`` if none is left."""
+        for host in self._site.hosts:
+            serves = host.alive and host.draining_since is None
+            if host.service == service and serves:
+                return host
+        raise LookupError(f'no host of {service} is left')
+
+
+def count_endings(
+    requests: typing.Iterable[Request],
+) -> dict[str, collections.Counter[Ending]]:
+    """Return how the requests of each service ended."""
+    counts: dict[str, collections.Counter[Ending]] = {}
+    for request in requests:
+        counter = counts.setdefault(request.service, collections.Counter())
+        counter[request.ending] += 1
+    return counts
--- /dev/null
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/experiments/report.py
@@ -0,0 +1,155 @@
+"""Reports of a played day: one HTML page with its table and plots."""
+
+import io
+import typing
+
+import jinja2
+from matplotlib import figure
+import numpy
+
+from savoryhaven_standins.experiments import play
+
+# Requests are counted in windows of this length, in seconds.
+WINDOW_S = 1.0
+_COLOURS: typing.Final = {
+    play.Ending.SERVED: '#2a9d5c',
+    play.Ending.LATE: '#e9a820',
+    play.Ending.REFUSED: '#5a7fb5',
+    play.Ending.UNANSWERED: '#8d5ab5',
+    play.Ending.RESET: '#c0392b',
+    play.Ending.MIXED: '#000000',
+}
+_PAGE: typing.Final = jinja2.Template(
+    """<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>{{ title }}</title>
+<style>
+body { font: 15px/1.5 system-ui, sans-serif; max-width: 60rem;
+  margin: 2rem auto; padding: 0 1rem; }
+table { border-collapse: collapse; }
+th, td { padding: .2rem .8rem; border-bottom: 1px solid #ccc;
+  text-align: right; }
+th:first-child, td:first-child { text-align: left; }
+svg { width: 100%; height: auto; }
+</style></head><body>
+<h1>{{ title }}</h1>
+<p>{{ summary }}</p>
+<table><tr>{% for name in head %}<th>{{ name }}</th>{% endfor %}</tr>
+{% for row in rows %}<tr>{% for cell in row %}<td>{{ cell }}</td>
+{% endfor %}</tr>{% endfor %}</table>
+{% for plot in plots %}{{ plot | safe }}{% endfor %}
+<h2>What happened</h2>
+<ul>{% for span in spans %}<li>{{ '%.1f' | format(span.began_s) }} s to
+{{ '%.1f' | format(span.ended_s) }} s: {{ span.what }}</li>{% endfor %}</ul>
+</body></html>
+""",
+    autoescape=True,
+)
+
+HEAD: typing.Final = (
+    'service',
+    'requests',
+    *(ending.value for ending in play.Ending),
+    'median',
+    '99th percentile',
+)
+
+
+def build_rows(result: play.Result) -> list[list[str]]:
+    """Return the table: a row for each service, as texts.
+
+    Latencies are those of requests that were served.
+    """
+    rows = []
+    for service, counts in play.count_endings(result.requests).items():
+        served = [
+            request.latency_s
+            for request in result.requests
+            if request.service == service
+            and request.ending is play.Ending.SERVED
+        ]
+        latencies = ['-', '-']
+        if served:
+            latencies = [
+                f'{value * 1000:.0f} ms'
+                for value in numpy.percentile(served, (50, 99))
+            ]
+        numbers = [str(counts[ending]) for ending in play.Ending]
+        rows.append([service, str(counts.total()), *numbers, *latencies])
+    return rows
+
+
+def build_page(result: play.Result, title: str) -> str:
+    """Return the report as an HTML page that needs nothing beside it."""
+    day = result.day
+    summary = (
+        f'{day.seconds:g} s with {day.vms} VMs, seed {day.seed}; '
+        f'{len(result.strays)} packets at a wrong host, '
+        f'{len(result.ran_again)} requests that ran more than once.'
+    )
+    return _PAGE.render(
+        title=title,
+        summary=summary,
+        head=HEAD,
+        rows=build_rows(result),
+        plots=[_plot_endings(result), _plot_loads(result)],
+        spans=sorted(result.spans, key=lambda span: span.began_s),
+    )
+
+
+def _plot_endings(result: play.Result) -> str:
+    """Plot how many requests that began in each window ended how."""
+    last_s = max((r.at_s for r in result.requests), default=0.0)
+    edges = numpy.arange(0.0, last_s + 2 * WINDOW_S, WINDOW_S)
+    counts = [
+        numpy.histogram(
+            [r.at_s for r in result.requests if r.ending is ending], edges
+        )[0]
+        for ending in play.Ending
+    ]
+    drawn = figure.Figure(figsize=(10, 3.5), layout='constrained')
+    axes = drawn.subplots()
+    axes.stackplot(
+        edges[:-1],
+        counts,
+        labels=[ending.value for ending in play.Ending],
+        colors=[_COLOURS[ending] for ending in play.Ending],
+        step='post',
+    )
+    axes.set(xlabel='seconds', ylabel=f'requests in {WINDOW_S:g} s')
+    drawn.legend(loc='outside upper center', fontsize='small', ncols=6)
+    _mark_spans(axes, result)
+    return _render(drawn)
+
+
+def _plot_loads(result: play.Result) -> str:
+    """Plot the requests at work at each host."""
+    drawn = figure.Figure(figsize=(10, 3.5), layout='constrained')
+    axes = drawn.subplots()
+    names = {name for sample in result.samples for name in sample.loads}
+    for name in sorted(names):
+        axes.plot(
+            [sample.at_s for sample in result.samples],
+            [sample.loads.get(name, numpy.nan) for sample in result.samples],
+            label=name,
+            linewidth=1.0,
+        )
+    axes.set(xlabel='seconds', ylabel='requests at work')
+    if names:
+        drawn.legend(loc='outside right upper', fontsize='x-small')
+    _mark_spans(axes, result)
+    return _render(drawn)
+
+
+def _mark_spans(axes: typing.Any, result: play.Result) -> None:
+    for span in result.spans:
+        axes.axvspan(span.began_s, span.ended_s, color='#000000', alpha=0.07)
+
+
+def _render(drawn: figure.Figure) -> str:
+    """Return a figure as an SVG element."""
+    text = io.StringIO()
+    drawn.savefig(text, format='svg')
+    return (
+        text.getvalue().partition('<svg')[1]
+        + (text.getvalue().partition('<svg')[2])
+    )
--- a/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/clients.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/clients.py
@@ -127,6 +127,11 @@
             self._inbox.upstream_sequence is not None and not self._inbox.reset
         )
 
+    @property
+    def is_refused(self) -> bool:
+        """Return whether the opening was answered by a reset."""
+        return self._inbox.upstream_sequence is None and self._inbox.reset
+
     async def open(self) -> None:
         """Send the opening and its copies."""
         for copy, wait_s in enumerate(COPIES_S):
--- a/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/hosts.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/hosts.py
@@ -11,6 +11,7 @@
 from savoryhaven_standins.users_platform import wire
 
 WORK_S = 0.01
+SLOTS = 3
 RETRANSMIT_S = 0.2
 RETRANSMISSIONS = 8
 ANSWER = b'x' * 3_000
@@ -59,6 +60,8 @@
         store: store_module.MetadataStore,
         ledger: Ledger,
         clients: typing.Mapping[int, str],
+        slots: int = SLOTS,
+        work_s: float = WORK_S,
     ) -> None:
         number = next(_counter)
         self._first_sequence = number * _ISN_STEP
@@ -66,6 +69,11 @@
         self.service = service
         self.address = address
         self.draining_since: float | None = None
+        # Requests that run or wait for a slot.
+        self.at_work = 0
+        self._slot_count = slots
+        self._slots = asyncio.Semaphore(slots)
+        self._work_s = work_s
         self._zone = zone
         self._client_port = client_port
         self._store = store
@@ -102,7 +110,7 @@
                 'address': f'{host}:{port}',
                 'zone': self._zone,
                 'version': 'v1',
-                'capacity_slots': 3,
+                'capacity_slots': self._slot_count,
                 'state': 'draining' if draining else 'ready',
                 'cold_remaining_ms': 0,
                 'sequence_number': self._sequence,
@@ -208,7 +216,7 @@
         """Run a request, and send its answer until it is acknowledged."""
         name = segment.data.decode().rpartition(': ')[2].strip()
         self._ledger.ran[name] = self._ledger.ran.get(name, 0) + 1
-        await asyncio.sleep(WORK_S)
+        await self._work()
         first = flow.sent
         answer = name.encode() + b' ' + ANSWER
         flow.sent = first + len(answer)
@@ -221,6 +229,15 @@
             if flow.acknowledged >= flow.sent:
                 return
 
+    async def _work(self) -> None:
+        """Wait for a slot, and keep it for as long as a request takes."""
+        self.at_work += 1
+        try:
+            async with self._slots:
+                await asyncio.sleep(self._work_s)
+        finally:
+            self.at_work -= 1
+
     def _reply(
         self, segment: wire.Segment, flags: int, sequence: int, data: bytes
     ) -> None:
--- a/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/site.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/site.py
@@ -36,7 +36,11 @@
         hosts: int = 4,
         seed: int = 1,
         plugins: tuple[str, ...] = (),
+        slots: int = hosts_module.SLOTS,
+        work_s: float = hosts_module.WORK_S,
     ) -> None:
+        self._slots = slots
+        self._work_s = work_s
         self.store = store_module.MetadataStore()
         self.ledger = hosts_module.Ledger()
         self.hosts: list[hosts_module.Host] = []
@@ -116,6 +120,8 @@
             store=self.store,
             ledger=self.ledger,
             clients=self._client_hosts,
+            slots=self._slots,
+            work_s=self._work_s,
         )
         self.hosts.append(host)
         await host.start()
