--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -17,6 +17,7 @@
 
 from _savoryhaven.tracking import document as document_module
 from _savoryhaven.tracking import packets
+from _savoryhaven.tracking import schema
 from savoryhaven_standins import fakes
 
 SEED = 20_261_204
@@ -163,7 +164,7 @@
             upstreams=self.domains,
             protocol='tcp',
         )
-        value = fakes.schema.dump(whole)
+        value = schema.dump(whole)
         value['failure_domains'] = ['a', 'b', 'c', 'd']
         service = value['sections']['team']['services']['one']
         for index, slots in enumerate(self.slots):
@@ -195,7 +196,7 @@
             case 'remove':
                 self.removed.add(2)
         self.generation += 1
-        self.cluster.platform.store(fakes.schema.dump(self.build_document()))
+        self.cluster.platform.store(schema.dump(self.build_document()))
 
     def open_flows(self, at: float) -> None:
         """Open the flows of one step."""
--- a/packages/savoryhaven-ctl/tests/test_editing.py
+++ b/packages/savoryhaven-ctl/tests/test_editing.py
@@ -7,6 +7,7 @@
 
 from _savoryhaven import errors
 from _savoryhaven.tracking import document
+from _savoryhaven.tracking import schema
 from _savoryhaven_ctl import editing
 from savoryhaven_standins import fakes
 
@@ -18,7 +19,7 @@
 
 def make_platform() -> fakes.Platform:
     shared = fakes.Platform()
-    shared.store(fakes.schema.dump(fakes.make_document(generation=1)))
+    shared.store(schema.dump(fakes.make_document(generation=1)))
     return shared
 
 
--- /dev/null
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/fakes/loop.py
@@ -0,0 +1,59 @@
+"""Virtual time: waiting takes none, and each run is the same."""
+
+import asyncio
+import selectors
+import typing
+
+EPOCH_MS = 1_800_000_000_000
+
+
+class _InstantSelector(selectors.DefaultSelector):
+    """Advances the loop's time instead of waiting."""
+
+    loop: 'VirtualLoop'
+
+    def select(self, timeout: float | None = None) -> list:
+        if timeout is None:
+            raise RuntimeError('everything waits, and nothing will happen')
+        self.loop.now += max(0.0, timeout)
+        return super().select(0)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop in which waiting takes no time."""
+
+    def __init__(self) -> None:
+        selector = _InstantSelector()
+        selector.loop = self
+        self.now = 1_000.0
+        super().__init__(selector)
+
+    def time(self) -> float:
+        return self.now
+
+
+def run_virtually(
+    test: typing.Callable[..., typing.Awaitable[None]],
+) -> typing.Callable[..., None]:
+    """Turn an asynchronous test function into one that nose2 runs."""
+
+    def run(*arguments: typing.Any) -> None:
+        with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+            runner.run(test(*arguments))
+
+    run.__name__ = test.__name__
+    run.__doc__ = test.__doc__
+    run.__module__ = test.__module__
+    if hasattr(test, 'paramList'):
+        run.paramList = test.paramList
+    return run
+
+
+class LoopClock:
+    """Reads the virtual time."""
+
+    def read_monotonic(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def read_epoch_ms(self) -> int:
+        return EPOCH_MS + int(self.read_monotonic() * 1000)
--- a/packages/savoryhaven/tests/test_configuration.py
+++ b/packages/savoryhaven/tests/test_configuration.py
@@ -6,6 +6,7 @@
 
 from _savoryhaven.tracking import changes
 from _savoryhaven.tracking import document
+from _savoryhaven.tracking import schema
 from savoryhaven_standins import fakes
 
 PLATFORM_UP_S = 1.0
@@ -69,7 +70,7 @@
 async def test_an_older_document_from_the_platform_changes_nothing() -> None:
     async with fakes.Cluster(seed=33) as cluster:
         await cluster.apply(fakes.make_document(generation=5))
-        stale = fakes.schema.dump(fakes.make_document(generation=4))
+        stale = schema.dump(fakes.make_document(generation=4))
         cluster.platform.store(stale)
         await asyncio.sleep(5.0)
         cluster.start_vm('a9', 'a')
@@ -95,7 +96,7 @@
     [],
     'text',
     {'generation': 9},
-    {**fakes.schema.dump(fakes.make_document(generation=9)), 'teams': []},
+    {**schema.dump(fakes.make_document(generation=9)), 'teams': []},
 )
 
 
@@ -149,7 +150,7 @@
         offer = slow.offer_document
         slow.offer_document = lambda offered, source: False
         cluster.platform.store(
-            fakes.schema.dump(
+            schema.dump(
                 fakes.make_document(
                     generation=2, upstreams=('a', 'a', 'b', 'b', 'a', 'b')
                 )
--- a/packages/savoryhaven/tests/test_document.py
+++ b/packages/savoryhaven/tests/test_document.py
@@ -10,11 +10,12 @@
 from _savoryhaven import errors
 from _savoryhaven.tracking import checks
 from _savoryhaven.tracking import document
+from _savoryhaven.tracking import schema
 from savoryhaven_standins import fakes
 
 
 def dump() -> dict[str, typing.Any]:
-    return fakes.schema.dump(fakes.make_document())
+    return schema.dump(fakes.make_document())
 
 
 def change(path: str, value: typing.Any) -> str:
--- a/packages/savoryhaven/tests/test_flows.py
+++ b/packages/savoryhaven/tests/test_flows.py
@@ -6,9 +6,11 @@
 import hypothesis
 from hypothesis import strategies
 
+from _savoryhaven.tracking import document
 from _savoryhaven.tracking import flows
 from _savoryhaven.tracking import packets
 from _savoryhaven.tracking import placement
+from _savoryhaven.tracking import schema
 from savoryhaven_standins import fakes
 
 TARGET = placement.Tables(fakes.make_document()).by_name['team/one'].targets[0]
@@ -158,13 +160,13 @@
         await asyncio.sleep(0.5)
         # An upstream of one becomes an upstream of two.
         moved = fakes.make_document(generation=2, upstreams=('a', 'a', 'b'))
-        whole = fakes.schema.dump(moved)
+        whole = schema.dump(moved)
         two = whole['sections']['other']['services']['two']
         two['upstreams']['two-1'] = {
             'failure_domain': 'b', 'address': '10.9.1.4:5683', 'slots': 2,
         }  # fmt: skip
         whole['sections']['other']['changed_in'] = 2
-        await cluster.apply(fakes.document.load_document(whole))
+        await cluster.apply(document.load_document(whole))
         cluster.upstreams.reached.clear()
         for number in range(100):
             cluster.send(fakes.make_request(number, fakes.ONE, 2))
--- a/packages/savoryhaven/tests/test_flows_survive.py
+++ b/packages/savoryhaven/tests/test_flows_survive.py
@@ -5,6 +5,7 @@
 
 from nose2.tools import params
 
+from _savoryhaven.tracking import schema
 from savoryhaven_standins import fakes
 
 FLOWS = 200
@@ -38,7 +39,7 @@
 
 async def add_upstream(cluster: fakes.Cluster) -> None:
     cluster.platform.store(
-        fakes.schema.dump(
+        schema.dump(
             fakes.make_document(
                 generation=2, upstreams=('a', 'a', 'b', 'b', 'a')
             )
@@ -48,7 +49,7 @@
 
 async def remove_upstream(cluster: fakes.Cluster) -> None:
     cluster.platform.store(
-        fakes.schema.dump(
+        schema.dump(
             fakes.make_document(generation=2, upstreams=('a', 'a', 'b'))
         )
     )
@@ -56,7 +57,7 @@
 
 async def move_home(cluster: fakes.Cluster) -> None:
     cluster.platform.store(
-        fakes.schema.dump(
+        schema.dump(
             fakes.make_document(generation=2, upstreams=('b', 'b', 'a', 'a'))
         )
     )
--- a/packages/savoryhaven/tests/test_partitions.py
+++ b/packages/savoryhaven/tests/test_partitions.py
@@ -3,6 +3,7 @@
 import asyncio
 import typing
 
+import aiocoap
 from nose2.tools import params
 
 from savoryhaven_standins import fakes
@@ -32,7 +33,7 @@
 def list_codes(cluster: fakes.Cluster) -> set[typing.Any]:
     """Return the codes of all answers that VMs gave themselves."""
     return {
-        fakes.aiocoap.Message.decode(bytes(packet.data.data)).code
+        aiocoap.Message.decode(bytes(packet.data.data)).code
         for _, packet in cluster.upstreams.answers
     }
 
@@ -57,7 +58,7 @@
         assert len(cluster.upstreams.runs) == FLOWS
         assert one_way or not via_a
         # Nobody is told "not run" by a VM that can't know.
-        refused = fakes.aiocoap.SERVICE_UNAVAILABLE
+        refused = aiocoap.SERVICE_UNAVAILABLE
         assert refused not in list_codes(cluster)
 
 
@@ -72,7 +73,7 @@
         cut_domains(cluster, 'a', 'b', False)
         await asyncio.sleep(20.0)
         await send_all(cluster, 1, via='a')
-        assert list_codes(cluster) == {fakes.aiocoap.GATEWAY_TIMEOUT}
+        assert list_codes(cluster) == {aiocoap.GATEWAY_TIMEOUT}
         assert len(cluster.upstreams.answers) == FLOWS
         assert not cluster.upstreams.runs
 
--- a/packages/savoryhaven/tests/test_recovery.py
+++ b/packages/savoryhaven/tests/test_recovery.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import aiocoap
 from nose2.tools import params
 
 from _savoryhaven.tracking import counters
@@ -121,8 +122,8 @@
     """Return the callers that were refused, and check what they were told."""
     refused = set()
     for source, packet in cluster.upstreams.answers:
-        message = fakes.aiocoap.Message.decode(bytes(packet.data.data))
-        if message.code is fakes.aiocoap.SERVICE_UNAVAILABLE:
+        message = aiocoap.Message.decode(bytes(packet.data.data))
+        if message.code is aiocoap.SERVICE_UNAVAILABLE:
             assert source == fakes.ONE
             assert message.opt.max_age == LIMITS['retry_after_s']
             port = packet.data.dport.to_bytes(2)
