Leave packets in the socket until a starting VM can place them

Change: the data socket is bound as before and read once both are known, 0.5 s after the start at the latest. Tried and left out: to bind the socket before the imports as well.

--- a/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/fabric.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/fabric.py
@@ -61,6 +61,10 @@
 
     async def is_ready(self, host: str) -> bool:
         """Return whether a VM says that it is ready."""
+        return b' 200 ' in await self.ask_readiness(host)
+
+    async def ask_readiness(self, host: str) -> bytes:
+        """Return the first line of a VM's answer, nothing if it is silent."""
         try:
             async with asyncio.timeout(ANSWER_S):
                 reader, writer = await asyncio.open_connection(
@@ -72,8 +76,8 @@
                 finally:
                     writer.close()
         except OSError:
-            return False
-        return b' 200 ' in line
+            return b''
+        return line
 
     def close(self) -> None:
         """Close the socket."""
--- a/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/store.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/store.py
@@ -38,6 +38,8 @@
     """One store; tests write to it directly."""
 
     def __init__(self) -> None:
+        # How long a slow store takes for an answer, in seconds.
+        self.slow_s = SLOW_S
         self.mode = Mode.UP
         self.calls = 0
         self._revision = 1
@@ -102,7 +104,7 @@
             case Mode.MANY:
                 return web.Response(status=429)
             case Mode.SLOW:
-                await asyncio.sleep(SLOW_S)
+                await asyncio.sleep(self.slow_s)
         kind = request.match_info['kind']
         if 'watch' in request.query:
             return await self._watch(kind, request.query)
--- a/packages/savoryhaven-standins/tests/test_users_site.py
+++ b/packages/savoryhaven-standins/tests/test_users_site.py
@@ -233,3 +233,23 @@
     site.fabric.send_to(site.find_vm_host('vm-1'), opening)
     await asyncio.sleep(0.3)
     assert len(site.ledger.openings) == 1
+
+
+@run_site(vms=1, seed=15)
+async def test_a_starting_vm_loses_no_opening_until_it_is_informed(
+    site: Site,
+) -> None:
+    # Its caller would lose some tenths of a second, or give up.
+    site.processes.send_signal('vm-1', signal.SIGKILL)
+    await site.processes.wait('vm-1')
+    site.store.mode = store.Mode.SLOW
+    site.store.slow_s = 0.2
+    host = site.find_vm_host('vm-1')
+    await site.start_vm('vm-1')
+    while not await site.fabric.ask_readiness(host):
+        await asyncio.sleep(0.01)
+    flow = clients.ClientFlow(site.add_client(), 30_000, DESK, clients.Inbox())
+    site.fabric.send_to(host, flow.make_opening().encode())
+    await site.wait_ready('vm-1')
+    await asyncio.sleep(0.2)
+    assert len(site.ledger.openings) == 1
--- a/packages/savoryhaven/src/_savoryhaven/operation/node.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/node.py
@@ -30,6 +30,12 @@
 # A VM without news from store and peers since its start serves by what its
 # peers had, after so long, in seconds: several failed calls to the store.
 UNCONFIRMED_S = 2.5
+# A VM that has just started leaves packets in its socket until it knows
+# routes and upstreams, which takes it two calls to store or peers, but no
+# longer than this, in seconds: after it a copy of an opening may be elsewhere
+# (see pauses.PAUSE_S).
+INFORMED_MAX_S = 0.5
+INFORMED_LOOK_S = 0.005
 SWEEP_INTERVAL_S = 0.5
 FLUSH_INTERVAL_S = 0.2
 # A VM that does not become ready says why after so long, in seconds.
@@ -163,6 +169,7 @@
             store=self.settings.store.address,
             seeds=list(self.settings.peers.seeds),
         )
+        self._tasks.append(asyncio.create_task(self._read_when_informed()))
         for work in (
             self._run_heartbeats,
             self.reader.run_configuration,
@@ -200,6 +207,7 @@
         self._peers = sockets.Datagrams(
             peer_address, self._receive_peer, self._report_socket
         )
+        self._peers.start_reading()
         readiness = http.PageServer(self._answer_readiness, self._report_page)
         await readiness.open(
             addresses.parse_address(self.settings.readiness.address)
@@ -239,6 +247,17 @@
                 )
                 await asyncio.sleep(RESTART_TASK_S)
 
+    async def _read_when_informed(self) -> None:
+        """Begin to read packets once they can be placed."""
+        while not self._is_informed():
+            if self.read_age(self._started_at) > INFORMED_MAX_S:
+                break
+            await asyncio.sleep(INFORMED_LOOK_S)
+        self._data.start_reading()
+
+    def _is_informed(self) -> bool:
+        return bool(self.routes.version and self.catalogue.revision)
+
     async def _run_heartbeats(self) -> None:
         was_ready = False
         while True:
@@ -254,10 +273,9 @@
             ]
             seeds = [host for host in seeds if host != self._address.host]
             self.gossip.send_heartbeats(seeds, now)
-            informed = self.routes.version and self.catalogue.revision
             await asyncio.sleep(
                 members_module.HEARTBEAT_INTERVAL_S
-                if informed
+                if self._is_informed()
                 else JOIN_INTERVAL_S
             )
 
--- a/packages/savoryhaven/src/_savoryhaven/operation/sockets.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/sockets.py
@@ -17,7 +17,7 @@
 
 
 class Datagrams:
-    """One bound socket.
+    """One bound socket; what arrives waits until ``start_reading``.
 
     ``report`` is told what else than data it gave, and ``drained`` is called
     whenever all that had arrived was read.
@@ -41,6 +41,9 @@
             self._socket.setsockopt(socket.SOL_SOCKET, option, BUFFER_BYTES)
         self._socket.bind(address.sockaddr)
         self._loop: typing.Final = asyncio.get_running_loop()
+
+    def start_reading(self) -> None:
+        """Hand on what has arrived, and what will."""
         self._loop.add_reader(self._socket, self._read)
 
     def send(self, data: bytes, sockaddr: tuple[str, int]) -> bool:
