Recognise upstreams that fail requests by the length of their answers

Cause: an upstream that answers 40 % of its requests with an error, at once, looks idle and gets more work. Change: the length of an answer is known when its client goes on or closes. One below 0.4 of its route's average counts as one request in the upstream's lasting load, for this VM and, as before, for its peers. Two of the new tests failed without the weight.

--- a/packages/savoryhaven-ctl/src/_savoryhaven_ctl/stories.py
+++ b/packages/savoryhaven-ctl/src/_savoryhaven_ctl/stories.py
@@ -30,6 +30,7 @@
         'opening_refused',
         'opening_dropped',
         'request_forwarded',
+        'answer_short',
         'packet_dropped',
         'flow_reset',
     }
@@ -205,6 +206,12 @@
                 'an earlier copy of the opening was not answered; this one '
                 f'went to {event.get("upstream")}'
             )
+        case 'answer_short':
+            return (
+                f'upstream {event.get("upstream")} answered with '
+                f'{event.get("answer_bytes")} bytes where '
+                f'{event.get("usual_bytes")} are usual: perhaps an error'
+            )
         case 'packet_dropped':
             return f'a packet was dropped: {reason}'
         case 'flow_reset':
--- a/packages/savoryhaven/src/_savoryhaven/datapath/flows.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/flows.py
@@ -27,7 +27,8 @@
 
     ``waiting_since`` is when the request at work was first seen, infinity
     while there is none. ``load_met`` is the load per slot that the request at
-    work found.
+    work found. ``answer_from`` is the first byte of the answer to the last
+    request.
     """
 
     state: upstreams.UpstreamState
@@ -36,6 +37,7 @@
     seen_at: float
     waiting_since: float = math.inf
     requests: int = 0
+    answer_from: int = 0
     load_met: float = 0.0
     ended: bool = False
 
@@ -45,13 +47,15 @@
     """What one packet showed.
 
     ``latency_s`` is the time from a request to its answer, negative if the
-    packet shows no answer.
+    packet shows no answer. ``answer_bytes`` is the length of an answer whose
+    end the packet shows, negative if it shows none.
     """
 
     flow: ObservedFlow
     begins_request: bool = False
     latency_s: float = -1.0
     load_met: float = 0.0
+    answer_bytes: int = -1
 
 
 class FlowTable:
@@ -83,13 +87,15 @@
         flow.seen_at = now
         load_met = flow.load_met
         latency_s = self._note_acknowledged(flow, packet, now)
+        answered = _measure_answer(flow)
         begins = packet.payload_bytes > 0 and self._note_data(
             flow, packet, now
         )
+        answer_bytes = answered if begins or packet.closing else -1
         if packet.closing:
             flow.ended = True
             _end_request(flow, now)
-        return Observation(flow, begins, latency_s, load_met)
+        return Observation(flow, begins, latency_s, load_met, answer_bytes)
 
     def remove(self, key: packets.FlowKey, now: float) -> None:
         """Forget a flow and its request."""
@@ -152,12 +158,24 @@
         if flow.waiting_since != math.inf:
             return False
         flow.waiting_since = now
+        flow.answer_from = flow.acknowledged
         flow.requests += 1
         flow.state.add_outstanding(1, now)
         flow.load_met = flow.state.load / flow.state.upstream.slots
         return True
 
 
+def _measure_answer(flow: ObservedFlow) -> int:
+    """Return how much of the last answer arrived, negative if none did.
+
+    The client acknowledges all of it by the time it goes on or closes.
+    """
+    if flow.ended or not flow.requests:
+        return -1
+    arrived = (flow.acknowledged - flow.answer_from) % _SEQUENCE_MODULUS
+    return arrived or -1
+
+
 def _end_request(flow: ObservedFlow, now: float) -> None:
     if flow.waiting_since != math.inf:
         flow.waiting_since = math.inf
--- a/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
@@ -19,6 +19,7 @@
 from _savoryhaven.operation import counters as counters_module
 from _savoryhaven.operation import events as events_module
 from _savoryhaven.placement import admission
+from _savoryhaven.placement import answers
 from _savoryhaven.placement import selection
 from _savoryhaven.placement import upstreams
 
@@ -75,6 +76,8 @@
         self.openings: typing.Final = openings_module.Openings(OPENING_LIMIT)
         self._service_times: dict[records.Destination, admission.ServiceTime]
         self._service_times = {}
+        self._answer_lengths: dict[records.Destination, answers.AnswerLengths]
+        self._answer_lengths = {}
         self.answer_latency: typing.Final = counters_module.Histogram()
         self.opening_latency: typing.Final = counters_module.Histogram()
 
@@ -128,8 +131,8 @@
         seen = self.flows.observe(packet, state, now)
         if seen is None:
             self._counters[_Count.FLOWS_UNOBSERVED] += 1
-        elif seen.begins_request or seen.latency_s >= 0:
-            self._note_request(packet, state, seen)
+        else:
+            self._note_request(packet, state, seen, now)
 
     def _settle_opening(
         self,
@@ -148,6 +151,7 @@
         packet: packets.FlowPacket,
         state: upstreams.UpstreamState,
         seen: flows_module.Observation,
+        now: float,
     ) -> None:
         if seen.latency_s >= 0:
             self._counters[_Count.ANSWERED] += 1
@@ -155,6 +159,8 @@
             self._service_times.setdefault(
                 packet.key[2:], admission.ServiceTime()
             ).record(seen.latency_s, seen.load_met)
+        if seen.answer_bytes >= 0:
+            self._note_length(packet, state, seen.answer_bytes, now)
         if seen.begins_request:
             self._events.emit(
                 'request_forwarded',
@@ -165,6 +171,30 @@
                 upstream_requests=state.outstanding,
             )
 
+    def _note_length(
+        self,
+        packet: packets.FlowPacket,
+        state: upstreams.UpstreamState,
+        answer_bytes: int,
+        now: float,
+    ) -> None:
+        lengths = self._answer_lengths.setdefault(
+            packet.key[2:], answers.AnswerLengths()
+        )
+        usual_bytes = lengths.average_bytes
+        if not lengths.record(answer_bytes):
+            return
+        state.note_short_answer(now)
+        self._counters[_Count.SHORT_ANSWERS] += 1
+        self._events.emit(
+            'answer_short',
+            flow=packets.format_flow(packet.key),
+            upstream=state.upstream.upstream_id,
+            answer_bytes=answer_bytes,
+            usual_bytes=round(usual_bytes),
+            upstream_load=round(state.lasting_load, 3),
+        )
+
     def _drop_unknown(self, packet: packets.FlowPacket, now: float) -> None:
         """Drop a packet that can't be placed; its client sends it again.
 
--- a/packages/savoryhaven/src/_savoryhaven/operation/counters.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/counters.py
@@ -21,6 +21,7 @@
     REFUSED = 'openings reset: no route, or no upstream for it'
     RESET = 'open flows reset: their upstream has ended'
     ANSWERED = 'requests whose answers clients acknowledged'
+    SHORT_ANSWERS = 'answers much shorter than usual: perhaps errors'
     DROPPED_MALFORMED = 'packets dropped: malformed'
     DROPPED_UNKNOWN_TAG = 'packets dropped: no upstream has their tag'
     DROPPED_UNINFORMED = 'openings dropped: too little is known as yet'
--- a/packages/savoryhaven/src/_savoryhaven/placement/upstreams.py
+++ b/packages/savoryhaven/src/_savoryhaven/placement/upstreams.py
@@ -14,6 +14,12 @@
 LASTING_LOAD_S = 4.0
 
 
+# What an answer that looks like an error adds to the lasting load, in
+# requests: its caller asks again. With more, days on which a part of the
+# upstreams is silent or sheds load are served worse (docs/design).
+SHORT_ANSWER_LOAD = 1.0
+
+
 @attrs.define(eq=False, repr=False)
 class UpstreamState:
     """One upstream, and the evidence for its load and its health.
@@ -82,6 +88,11 @@
         self.answered_at = now
         self.failures = 0
 
+    def note_short_answer(self, now: float) -> None:
+        """Note an answer that looks like an error."""
+        self.update_averages(now)
+        self.lasting_load += SHORT_ANSWER_LOAD
+
     def note_failure(self, sent_at: float, now: float) -> None:
         """Note an opening, sent at a time, that got no answer.
 
--- /dev/null
+++ b/packages/savoryhaven/tests/test_answers.py
@@ -0,0 +1,107 @@
+"""Upstreams that fail a part of their requests in good health."""
+
+import doctest
+import json
+
+from _savoryhaven.operation import counters
+from _savoryhaven.placement import answers
+from savoryhaven_standins import tagged
+
+USUAL_BYTES = 900
+ERROR_BYTES = 210
+
+
+def make_vm() -> tagged.Vm:
+    """Return a VM that knows four upstreams."""
+    vm = tagged.Vm()
+    vm.learn([tagged.make_upstream(number) for number in range(1, 5)])
+    return vm
+
+
+def serve(
+    vm: tagged.Vm, port: int, failing: int | None, seconds: float
+) -> int:
+    """Carry one flow with one request; return its upstream.
+
+    The upstream ``failing`` answers at once, with an error.
+    """
+    vm.receive(tagged.make_packet(port))
+    tag = json.loads(vm.take_sent()[-1][0][8:])['tag']
+    answer_bytes = ERROR_BYTES if tag == failing else USUAL_BYTES
+    vm.receive(tagged.make_packet(port, tag=tag, sequence=101, acknowledged=1))
+    vm.receive(
+        tagged.make_packet(
+            port, tag=tag, sequence=150, acknowledged=1, payload_bytes=50
+        )
+    )
+    vm.clock.now += 0.001 if tag == failing else seconds
+    vm.receive(
+        tagged.make_packet(
+            port,
+            tag=tag,
+            sequence=151,
+            acknowledged=1 + answer_bytes,
+            closing=True,
+        )
+    )
+    vm.take_sent()
+    return tag
+
+
+def count_at(vm: tagged.Vm, tag: int, failing: int | None, first: int) -> int:
+    """Serve 200 flows, and return how many went to one upstream."""
+    reached = [
+        serve(vm, first + number, failing, 0.02) for number in range(200)
+    ]
+    return reached.count(tag)
+
+
+def test_the_example_of_the_module_holds() -> None:
+    assert not doctest.testmod(answers, verbose=False).failed
+
+
+def test_an_upstream_that_fails_at_once_gets_little_work() -> None:
+    vm = make_vm()
+    assert count_at(vm, 3, None, first=1_000) > 30
+    # A quarter of the flows would be its share; to be idle gets it more.
+    assert count_at(vm, 3, 3, first=2_000) < 20
+    assert vm.counters[counters.Count.SHORT_ANSWERS] > 0
+
+
+def test_an_upstream_that_has_recovered_gets_work_again() -> None:
+    vm = make_vm()
+    count_at(vm, 3, None, first=1_000)
+    count_at(vm, 3, 3, first=2_000)
+    vm.clock.now += 15.0
+    assert count_at(vm, 3, None, first=3_000) > 30
+
+
+def test_peers_hear_of_an_upstream_that_fails() -> None:
+    network = tagged.make_network(2)
+    first, second = network.vms.values()
+    for vm in (first, second):
+        vm.learn([tagged.make_upstream(number) for number in range(1, 5)])
+    network.pass_time(1.0, seeds=('10.0.0.1',))
+    count_at(first, 3, None, first=1_000)
+    count_at(first, 3, 3, first=2_000)
+    network.pass_time(1.0, seeds=('10.0.0.1',))
+    reached = [serve(second, 4_000 + n, None, 0.0) for n in range(20)]
+    assert 3 not in reached
+
+
+def test_answers_of_many_lengths_are_not_short() -> None:
+    lengths = answers.AnswerLengths()
+    short = [
+        lengths.record(2_000 + 700 * (number % 5)) for number in range(200)
+    ]
+    assert not any(short)
+
+
+def test_a_route_whose_answers_become_shorter_is_learned_anew() -> None:
+    lengths = answers.AnswerLengths()
+    for _ in range(50):
+        lengths.record(4_000)
+    assert lengths.record(500)
+    for _ in range(100):
+        lengths.record(500)
+    assert not lengths.record(500)
