Spend less on packets that show nothing new

Change: packets that show nothing new share one observation; the flow is looked up once; names are bound once.

--- a/packages/savoryhaven/src/_savoryhaven/datapath/flows.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/flows.py
@@ -46,18 +46,23 @@
 class Observation:
     """What one packet showed.
 
+    ``requests`` is how many requests the flow has carried so far.
     ``latency_s`` is the time from a request to its answer, negative if the
     packet shows no answer. ``answer_bytes`` is the length of an answer whose
     end the packet shows, negative if it shows none.
     """
 
-    flow: ObservedFlow
+    requests: int = 0
     begins_request: bool = False
     latency_s: float = -1.0
     load_met: float = 0.0
     answer_bytes: int = -1
 
 
+# What most packets show; they share it, as each packet's time counts.
+NOTHING_NEW: typing.Final = Observation()
+
+
 class FlowTable:
     """The flows that passed through this VM lately, up to a limit."""
 
@@ -74,28 +79,30 @@
 
     def observe(
         self,
+        flow: ObservedFlow | None,
         packet: packets.FlowPacket,
         state: upstreams.UpstreamState,
         now: float,
     ) -> Observation | None:
-        """Note a packet of an open flow; None at the limit of flows."""
-        flow = self._flows.get(packet.key)
+        """Note a packet of an open flow; None at the limit of flows.
+
+        ``flow`` is what ``get`` returned. Most packets acknowledge a part of
+        an answer, and show nothing else.
+        """
         if flow is None or flow.state is not state:
             flow = self._start(packet, state, now)
             if flow is None:
                 return None
         flow.seen_at = now
         load_met = flow.load_met
-        latency_s = self._note_acknowledged(flow, packet, now)
-        answered = _measure_answer(flow)
-        begins = packet.payload_bytes > 0 and self._note_data(
-            flow, packet, now
-        )
-        answer_bytes = answered if begins or packet.closing else -1
-        if packet.closing:
-            flow.ended = True
-            _end_request(flow, now)
-        return Observation(flow, begins, latency_s, load_met, answer_bytes)
+        latency_s = -1.0
+        if packet.acknowledged != flow.acknowledged:
+            latency_s = _note_acknowledged(flow, packet, now)
+        if packet.payload_bytes or packet.closing:
+            return _observe_data(flow, packet, latency_s, load_met, now)
+        if latency_s < 0:
+            return NOTHING_NEW
+        return Observation(flow.requests, False, latency_s, load_met)
 
     def remove(self, key: packets.FlowKey, now: float) -> None:
         """Forget a flow and its request."""
@@ -133,36 +140,58 @@
         self._flows[packet.key] = flow
         return flow
 
-    def _note_acknowledged(
-        self, flow: ObservedFlow, packet: packets.FlowPacket, now: float
-    ) -> float:
-        if not _is_after(packet.acknowledged, flow.acknowledged):
-            return -1.0
-        flow.acknowledged = packet.acknowledged
-        flow.state.note_answer(now)
-        if flow.waiting_since == math.inf:
-            return -1.0
-        latency_s = now - flow.waiting_since
+
+def _note_acknowledged(
+    flow: ObservedFlow, packet: packets.FlowPacket, now: float
+) -> float:
+    if not _is_after(packet.acknowledged, flow.acknowledged):
+        return -1.0
+    flow.acknowledged = packet.acknowledged
+    flow.state.note_answer(now)
+    if flow.waiting_since == math.inf:
+        return -1.0
+    latency_s = now - flow.waiting_since
+    _end_request(flow, now)
+    return latency_s
+
+
+def _observe_data(
+    flow: ObservedFlow,
+    packet: packets.FlowPacket,
+    latency_s: float,
+    load_met: float,
+    now: float,
+) -> Observation:
+    """Note a packet that carries data or ends its client's side."""
+    answered = _measure_answer(flow)
+    begins = packet.payload_bytes > 0 and _note_data(flow, packet, now)
+    if packet.closing:
+        flow.ended = True
         _end_request(flow, now)
-        return latency_s
-
-    def _note_data(
-        self, flow: ObservedFlow, packet: packets.FlowPacket, now: float
-    ) -> bool:
-        """Note data; return whether a request begins with it."""
-        if not _is_after(packet.sequence, flow.sequence):
-            return False
-        flow.sequence = packet.sequence
-        if flow.ended:
-            return False
-        if flow.waiting_since != math.inf:
-            return False
-        flow.waiting_since = now
-        flow.answer_from = flow.acknowledged
-        flow.requests += 1
-        flow.state.add_outstanding(1, now)
-        flow.load_met = flow.state.load / flow.state.upstream.slots
-        return True
+    elif not begins:
+        answered = -1
+        if latency_s < 0:
+            return NOTHING_NEW
+    return Observation(flow.requests, begins, latency_s, load_met, answered)
+
+
+def _note_data(
+    flow: ObservedFlow, packet: packets.FlowPacket, now: float
+) -> bool:
+    """Note data; return whether a request begins with it."""
+    if not _is_after(packet.sequence, flow.sequence):
+        return False
+    flow.sequence = packet.sequence
+    if flow.ended:
+        return False
+    if flow.waiting_since != math.inf:
+        return False
+    flow.waiting_since = now
+    flow.answer_from = flow.acknowledged
+    flow.requests += 1
+    flow.state.add_outstanding(1, now)
+    flow.load_met = flow.state.load / flow.state.upstream.slots
+    return True
 
 
 def _measure_answer(flow: ObservedFlow) -> int:
--- a/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
@@ -34,6 +34,8 @@
 OPENING_LIMIT = 5_000
 
 _Count = counters_module.Count
+# Looked up once: members of an enumeration are no plain attributes.
+_FORWARDED: typing.Final = _Count.FORWARDED
 Send = typing.Callable[[bytes, tuple[str, int]], None]
 
 
@@ -127,11 +129,11 @@
         ):
             return
         self._outlets.send(state.prefix + packet.raw, state.sockaddr)
-        self._counters[_Count.FORWARDED] += 1
-        seen = self.flows.observe(packet, state, now)
+        self._counters[_FORWARDED] += 1
+        seen = self.flows.observe(known, packet, state, now)
         if seen is None:
             self._counters[_Count.FLOWS_UNOBSERVED] += 1
-        else:
+        elif seen is not flows_module.NOTHING_NEW:
             self._note_request(packet, state, seen, now)
 
     def _settle_opening(
@@ -167,7 +169,7 @@
                 request_id=self._codec.find_request_id(packet),
                 flow=packets.format_flow(packet.key),
                 upstream=state.upstream.upstream_id,
-                number=seen.flow.requests,
+                number=seen.requests,
                 upstream_requests=state.outstanding,
             )
 
