--- a/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
@@ -256,6 +256,11 @@
         """Queue a datagram."""
         self._queue.append((data, sender, receiver))
 
+    def take_datagrams(self) -> list[bytes]:
+        """Return what waits for delivery, and forget it."""
+        waiting, self._queue = self._queue, []
+        return [data for data, _, _ in waiting]
+
     def deliver(self) -> None:
         """Deliver all that is queued, and what follows from it."""
         while self._queue:
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
@@ -16,6 +16,7 @@
 from _savoryhaven.knowledge import messages
 from _savoryhaven.knowledge import records
 from _savoryhaven.knowledge import routes as routes_module
+from _savoryhaven.knowledge import snapshots
 from _savoryhaven.operation import counters as counters_module
 from _savoryhaven.operation import events as events_module
 from _savoryhaven.placement import selection
@@ -64,7 +65,8 @@
         self._events: typing.Final = events
         self._random: typing.Final = source
         self._requested: dict[str, float] = {}
-        self._assemblies: dict[str, messages.SnapshotAssembly] = {}
+        self._inbox: typing.Final = snapshots.Inbox()
+        self._outbox: typing.Final = snapshots.Outbox()
         self._loads: typing.Final = loads_module.PeerLoads(catalogue)
         self._round = 0
         self.ready = False
@@ -191,6 +193,8 @@
     def _request(self, subject: str, host: str, now: float) -> None:
         if now - self._requested.get(subject, -math.inf) < REQUEST_INTERVAL_S:
             return
+        if self._inbox.is_arriving(subject, now):
+            return
         self._requested[subject] = now
         self._send_message(
             messages.SnapshotRequest(self.members.vm_id, subject), host
@@ -199,46 +203,58 @@
     def _send_snapshot(
         self, request: messages.SnapshotRequest, host: str, now: float
     ) -> None:
+        for part in self._list_parts(request.subject, now):
+            self._send_message(part, host)
+
+    def _list_parts(
+        self, subject: str, now: float
+    ) -> list[messages.SnapshotPart]:
+        """Return what this VM knows of a subject; nothing if it does not."""
         catalogue = self._catalogue
         current = self._routes.current
-        parts: list[messages.SnapshotPart] = []
-        if request.subject == messages.CONFIGURATION and current is not None:
-            body = [_age_ms(self._routes.confirmed_at, now), current.document]
-            parts = messages.split_snapshot(
-                request.subject, current.version, body
+        if subject == messages.CONFIGURATION and current is not None:
+            return self._outbox.list_parts(
+                subject,
+                version=current.version,
+                age_ms=_age_ms(self._routes.confirmed_at, now),
+                state=current.version,
+                build=lambda: current.document,
             )
-        elif request.subject == messages.CATALOGUE and catalogue.revision:
-            body = [
-                _age_ms(catalogue.confirmed_at, now),
-                messages.encode_upstreams(catalogue.list_present()),
-                messages.encode_upstreams(catalogue.list_removed()),
-            ]
-            parts = messages.split_snapshot(
-                request.subject, catalogue.revision, body
+        if subject == messages.CATALOGUE and catalogue.revision:
+            removed = catalogue.list_removed()
+            return self._outbox.list_parts(
+                subject,
+                version=catalogue.revision,
+                age_ms=_age_ms(catalogue.confirmed_at, now),
+                state=(
+                    catalogue.revision,
+                    catalogue.digest,
+                    frozenset(upstream.wire_id for upstream in removed),
+                ),
+                build=lambda: [
+                    messages.encode_upstreams(catalogue.list_present()),
+                    messages.encode_upstreams(removed),
+                ],
             )
-        for part in parts:
-            self._send_message(part, host)
+        return []
 
     def _take_part(
         self, part: messages.SnapshotPart, host: str, now: float
     ) -> None:
-        assembly = self._assemblies.setdefault(
-            part.subject, messages.SnapshotAssembly()
-        )
-        body = assembly.add(part)
-        if body is None:
+        snapshot = self._inbox.take(part, host, now)
+        if snapshot is None:
             return
-        match part.subject:
+        match snapshot.subject:
             case messages.CONFIGURATION:
-                self._take_configuration(body, host, now)
+                self._take_configuration(snapshot, host, now)
             case messages.CATALOGUE:
-                self._take_catalogue(part.version, body, host, now)
+                self._take_catalogue(snapshot, host, now)
 
     def _take_configuration(
-        self, body: typing.Any, host: str, now: float
+        self, taken: snapshots.Snapshot, host: str, now: float
     ) -> None:
-        age_ms, document = body
-        configuration = self._decode_configuration(document)
+        age_ms = taken.age_ms
+        configuration = self._decode_configuration(taken.body)
         adopted = self._routes.adopt(configuration)
         if configuration.version == self._routes.version and age_ms >= 0:
             self._routes.confirm(now - age_ms / 1000)
@@ -253,20 +269,21 @@
             )
 
     def _take_catalogue(
-        self, revision: int, body: typing.Any, host: str, now: float
+        self, taken: snapshots.Snapshot, host: str, now: float
     ) -> None:
-        age_ms, present, removed = body
+        present, removed = taken.body
         self._catalogue.remember_removed(
             messages.decode_upstreams(removed), now
         )
-        if revision < self._catalogue.revision:
+        if taken.version < self._catalogue.revision:
             return
         snapshot = records.UpstreamSnapshot(
-            revision=revision, upstreams=messages.decode_upstreams(present)
+            revision=taken.version,
+            upstreams=messages.decode_upstreams(present),
         )
         changes = self._catalogue.take_snapshot(snapshot, now)
-        if age_ms >= 0:
-            self._catalogue.confirm(now - age_ms / 1000, now)
+        if taken.age_ms >= 0:
+            self._catalogue.confirm(now - taken.age_ms / 1000, now)
         self.log_changes(changes, host, now)
 
     def _take_notice(
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/messages.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/messages.py
@@ -7,7 +7,6 @@
 """
 
 import typing
-import zlib
 
 import attrs
 import cbor2
@@ -15,11 +14,8 @@
 from _savoryhaven import errors
 from _savoryhaven.knowledge import records
 
-# Payload of a part; with its envelope it fits an Ethernet frame.
+# Payload of a datagram; with its envelope it fits an Ethernet frame.
 PART_BYTES = 1_100
-# A snapshot of 4,500 routes is about 200 KB compressed.
-PARTS_MAX = 512
-DECOMPRESSED_MAX_BYTES = 4 * 1024 * 1024
 
 
 @attrs.frozen(repr=False)
@@ -72,10 +68,14 @@
 
 @attrs.frozen(repr=False)
 class SnapshotPart:
-    """A piece of the answer to a request."""
+    """A piece of the answer to a request.
+
+    ``age_ms`` is how old the sender's knowledge is, -1 if never confirmed.
+    """
 
     subject: str
     version: int
+    age_ms: int
     index: int
     count: int
     data: bytes
@@ -159,60 +159,6 @@
     return kind(**dict(zip(names, item, strict=True)))
 
 
-def split_snapshot(
-    subject: str, version: int, body: typing.Any
-) -> list[SnapshotPart]:
-    """Return the parts that carry a body to a peer."""
-    data = zlib.compress(cbor2.dumps(body))
-    pieces = [
-        data[start : start + PART_BYTES]
-        for start in range(0, len(data), PART_BYTES)
-    ]
-    return [
-        SnapshotPart(subject, version, index, len(pieces), piece)
-        for index, piece in enumerate(pieces)
-    ]
-
-
-class SnapshotAssembly:
-    """Collects the parts of snapshots; a newer version starts anew."""
-
-    def __init__(self) -> None:
-        self._version = 0
-        self._parts: dict[int, bytes] = {}
-
-    def add(self, part: SnapshotPart) -> typing.Any | None:
-        """Return the body once all its parts are here.
-
-        Raises ``PeerError`` ``SH402`` for parts that don't join.
-        """
-        if part.version < self._version:
-            return None
-        if not 0 <= part.index < part.count <= PARTS_MAX:
-            raise errors.PeerError(
-                errors.Problem(code='SH402', message='a part out of range')
-            )
-        if part.version > self._version:
-            self._version = part.version
-            self._parts.clear()
-        self._parts[part.index] = part.data
-        if len(self._parts) < part.count:
-            return None
-        data = b''.join(self._parts[index] for index in range(part.count))
-        self._parts.clear()
-        return _decompress(data)
-
-
-def _decompress(data: bytes) -> typing.Any:
-    try:
-        unpacker = zlib.decompressobj()
-        return cbor2.loads(unpacker.decompress(data, DECOMPRESSED_MAX_BYTES))
-    except Exception as exc:  # noqa: B902 - any bytes may come
-        raise errors.PeerError(
-            errors.Problem(code='SH402', message=f'not a snapshot: {exc!r}')
-        ) from exc
-
-
 def encode_upstreams(
     upstreams: typing.Iterable[records.Upstream],
 ) -> list[tuple]:
--- a/packages/savoryhaven/tests/test_gossip.py
+++ b/packages/savoryhaven/tests/test_gossip.py
@@ -1,5 +1,7 @@
 """News between VMs: one that reaches the store informs all."""
 
+import typing
+
 import hypothesis
 from hypothesis import strategies
 
@@ -7,6 +9,7 @@
 from _savoryhaven.knowledge import members as members_module
 from _savoryhaven.knowledge import messages
 from _savoryhaven.knowledge import records
+from _savoryhaven.knowledge import snapshots
 from _savoryhaven.operation import counters
 from _savoryhaven.placement import selection
 from savoryhaven_standins import tagged
@@ -125,25 +128,36 @@
     ]
 
 
+def make_parts(version: int, body: typing.Any) -> list[messages.SnapshotPart]:
+    """Return the parts of a snapshot of the configuration."""
+    return snapshots.Outbox().list_parts(
+        messages.CONFIGURATION,
+        version=version,
+        age_ms=0,
+        state=version,
+        build=lambda: body,
+    )
+
+
 def test_a_large_configuration_goes_in_parts() -> None:
     body = ['x' * 5, bytes(range(256)) * 200]
-    parts = messages.split_snapshot('configuration', 3, body)
-    assembly = messages.SnapshotAssembly()
-    results = [assembly.add(part) for part in reversed(parts)]
-    assert results[-1] == body
+    inbox = snapshots.Inbox()
+    parts = make_parts(3, body)
+    results = [inbox.take(part, 'h', 0.0) for part in reversed(parts)]
+    assert results[-1].body == body
     assert all(result is None for result in results[:-1])
 
 
 def test_a_newer_snapshot_replaces_half_of_an_older_one() -> None:
     data = [bytes(hash((n, 7)) % 256 for n in range(5_000))]
-    older = messages.split_snapshot('catalogue', 3, data)
-    newer = messages.split_snapshot('catalogue', 4, data)
-    assembly = messages.SnapshotAssembly()
-    assert assembly.add(older[0]) is None
+    older = make_parts(3, data)
+    newer = make_parts(4, data)
+    inbox = snapshots.Inbox()
+    assert inbox.take(older[0], 'h', 0.0) is None
     for part in newer[:-1]:
-        assert assembly.add(part) is None
-    assert assembly.add(older[-1]) is None
-    assert assembly.add(newer[-1]) == data
+        assert inbox.take(part, 'h', 0.0) is None
+    assert inbox.take(older[-1], 'h', 0.0) is None
+    assert inbox.take(newer[-1], 'h', 0.0).body == data
 
 
 def test_messages_survive_the_wire() -> None:
@@ -217,3 +231,81 @@
     for vm in (second, third):
         assert selection.is_suspect(vm.catalogue.by_tag[2], now)
         assert not selection.has_failed(vm.catalogue.by_tag[2], now)
+
+
+def take_parts(vm: tagged.Vm, receiver: str) -> list[bytes]:
+    """Return the datagrams of a VM's answer to a request for upstreams."""
+    request = messages.SnapshotRequest('v', messages.CATALOGUE)
+    raw = messages.encode_message(request)
+    vm.gossip.receive(raw, receiver, vm.clock.now)
+    return vm.network.take_datagrams()
+
+
+def make_large_fleet() -> tagged.Network:
+    """Return three VMs, of which two know 600 upstreams, in other orders."""
+    network = tagged.make_network(3)
+    numbers = list(range(1, 601))
+    for host, order in (('10.0.0.1', 1), ('10.0.0.2', -1)):
+        network.vms[host].learn(
+            [tagged.make_upstream(number) for number in numbers[::order]],
+            revision=700,
+        )
+    return network
+
+
+def test_snapshots_of_two_peers_that_arrive_together_both_hold() -> None:
+    network = make_large_fleet()
+    first = take_parts(network.vms['10.0.0.1'], '10.0.0.3')
+    second = take_parts(network.vms['10.0.0.2'], '10.0.0.3')
+    assert len(first) > 4
+    late = network.vms['10.0.0.3']
+    for one, other in zip(first, second, strict=False):
+        late.gossip.receive(one, '10.0.0.1', late.clock.now)
+        late.gossip.receive(other, '10.0.0.2', late.clock.now)
+    assert not late.counters[counters.Count.PEER_MALFORMED]
+    assert len(late.catalogue.list_present()) == 600
+
+
+def count_requests(network: tagged.Network) -> int:
+    """Return how many requests for upstreams wait for delivery."""
+    found = [messages.decode_message(raw) for raw in network.take_datagrams()]
+    return found.count(
+        messages.SnapshotRequest('10.0.0.3', messages.CATALOGUE)
+    )
+
+
+def test_a_snapshot_on_its_way_is_not_asked_for_again() -> None:
+    network = make_large_fleet()
+    late = network.vms['10.0.0.3']
+    parts = take_parts(network.vms['10.0.0.1'], '10.0.0.3')
+    first = network.vms['10.0.0.1']
+    first.gossip.send_heartbeats(('10.0.0.3',), late.clock.now)
+    (news,) = network.take_datagrams()
+    late.gossip.receive(news, '10.0.0.1', late.clock.now)
+    assert count_requests(network) == 1
+    for part in parts[:-1]:
+        late.clock.now += 0.11
+        late.gossip.receive(part, '10.0.0.1', late.clock.now)
+        late.gossip.receive(news, '10.0.0.1', late.clock.now)
+    assert count_requests(network) == 0
+    # The last part was lost.
+    late.clock.now += 1.0
+    late.gossip.receive(news, '10.0.0.1', late.clock.now)
+    assert count_requests(network) == 1
+
+
+def test_a_snapshot_for_many_peers_is_built_once() -> None:
+    network = make_large_fleet()
+    vm = network.vms['10.0.0.1']
+    first = take_parts(vm, '10.0.0.3')
+    encoded = []
+    build = messages.encode_upstreams
+    messages.encode_upstreams = lambda found: encoded.append(1) or build(found)
+    try:
+        assert len(take_parts(vm, '10.0.0.4')) == len(first)
+        assert not encoded
+        vm.learn([tagged.make_upstream(1)], revision=800)
+        assert take_parts(vm, '10.0.0.5')
+        assert encoded
+    finally:
+        messages.encode_upstreams = build
