Let a few of the VMs that start together read a long list

A VM that starts knows no peers, so each read the whole list of upstreams: with pages of 50 and 3,000 upstreams, 300 VMs make 18,000 calls at once, and each page has 1.2 s. Change: the store's list is read page by page. Short lists are read at once, as before.

--- a/packages/savoryhaven-standins/src/savoryhaven_standins/fakes/loop.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/fakes/loop.py
@@ -52,6 +52,11 @@
 class LoopClock:
     """Reads the virtual time."""
 
+    @property
+    def now(self) -> float:
+        """Return the time, as clocks do that a test sets."""
+        return self.read_monotonic()
+
     def read_monotonic(self) -> float:
         return asyncio.get_running_loop().time()
 
--- a/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
@@ -1,5 +1,6 @@
 """Stand-ins for tests of VMs that balance by tags, without any network."""
 
+import asyncio
 import json
 import random
 import typing
@@ -150,8 +151,14 @@
 class Vm:
     """The decisions of one VM, and what they sent."""
 
-    def __init__(self, *, failure_domain: str = 'a', seed: int = 1) -> None:
-        self.clock = ManualClock()
+    def __init__(
+        self,
+        *,
+        failure_domain: str = 'a',
+        seed: int = 1,
+        clock: typing.Any = None,
+    ) -> None:
+        self.clock = clock or ManualClock()
         self.codec = PlainCodec()
         self.counters = counters_module.Counters()
         self.events = events_module.EventLog(
@@ -307,6 +314,9 @@
     revision: int = 100
     history_gone: bool = False
     down: bool = False
+    page_size: int = 1_000
+    # What an answer to a list takes, in seconds; watches wait then.
+    delay_s: float = 0.0
     calls: list[str] = attrs.field(factory=list)
 
     def _note(self, call: str) -> None:
@@ -341,12 +351,17 @@
         return await self.read_configuration(timeout_s)
 
     async def list_upstreams(
-        self, timeout_s: float
+        self, timeout_s: float, after: str = ''
     ) -> records.UpstreamSnapshot:
-        """Return all upstreams."""
+        """Return a page of the upstreams."""
         self._note('list_upstreams')
+        await asyncio.sleep(self.delay_s)
+        start = int(after or 0)
+        end = start + self.page_size
         return records.UpstreamSnapshot(
-            revision=self.revision, upstreams=self.upstreams
+            revision=self.revision,
+            upstreams=self.upstreams[start:end],
+            more=str(end) if end < len(self.upstreams) else '',
         )
 
     async def watch_upstreams(
@@ -354,6 +369,8 @@
     ) -> records.UpstreamChanges:
         """Return all upstreams as changes."""
         self._note('watch_upstreams')
+        if self.delay_s:
+            await asyncio.sleep(wait_s)
         self._check_history()
         return records.UpstreamChanges(
             since=revision, revision=self.revision, present=self.upstreams
--- a/packages/savoryhaven/src/_savoryhaven/hooks.py
+++ b/packages/savoryhaven/src/_savoryhaven/hooks.py
@@ -147,9 +147,9 @@
         """Return what changed since a revision, after a wait at most."""
 
     async def list_upstreams(
-        self, timeout_s: float
+        self, timeout_s: float, after: str = ''
     ) -> records.UpstreamSnapshot:
-        """Return all upstreams."""
+        """Return a page of all upstreams, the first or one ``after`` it."""
 
     async def watch_upstreams(
         self, revision: int, wait_s: float, timeout_s: float
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/reader.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/reader.py
@@ -34,6 +34,9 @@
 PATIENCE_S = 1.6
 RANK_PATIENCE_S = 0.1
 PATIENCE_MAX_S = 2.4
+# A VM that starts among others has heard of some of them after so long, in
+# seconds: three of its first heartbeats.
+FIRST_HEARD_S = 0.3
 # Pauses after failed calls, in seconds. All VMs together ask a store that is
 # away about four times a second, so its return is seen by one in time.
 FIRST_PAUSE_S = 0.2
@@ -199,7 +202,44 @@
             await asyncio.sleep(CHANGE_PAUSE_S)
 
     async def _list_upstreams(self, asked_at: float) -> None:
-        snapshot = await self._store.list_upstreams(SLOW_ANSWER_S)
+        page = await self._store.list_upstreams(SLOW_ANSWER_S)
+        pages = [page]
+        if page.more and not self._catalogue.revision:
+            if await self._wait_for_snapshot():
+                return
+        while page.more:
+            page = await self._store.list_upstreams(SLOW_ANSWER_S, page.more)
+            pages.append(page)
+        # What changes while further pages are read shows in the next watch.
+        self._take_list(
+            records.UpstreamSnapshot(
+                revision=pages[0].revision,
+                upstreams=tuple(u for p in pages for u in p.upstreams),
+                skipped=tuple(entry for p in pages for entry in p.skipped),
+            ),
+            asked_at,
+        )
+
+    async def _wait_for_snapshot(self) -> bool:
+        """Return whether peers told all before it is this VM's turn to read.
+
+        Of VMs that start together only a few should read a long list: with
+        300 of them and 3,000 upstreams the store would be busy for seconds.
+        """
+        began_at = self._clock.read_monotonic()
+        while True:
+            now = self._clock.read_monotonic()
+            rank = self._gossip.members.compute_rank(now)
+            turn_s = FIRST_HEARD_S + RANK_PATIENCE_S * rank
+            if now - began_at >= min(PATIENCE_MAX_S, turn_s):
+                return False
+            await asyncio.sleep(LOOK_S)
+            if self._catalogue.revision:
+                return True
+
+    def _take_list(
+        self, snapshot: records.UpstreamSnapshot, asked_at: float
+    ) -> None:
         now = self._clock.read_monotonic()
         if snapshot.revision < self._catalogue.revision:
             self._events.emit(
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/records.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/records.py
@@ -96,11 +96,15 @@
 
 @attrs.frozen(kw_only=True, repr=False)
 class UpstreamSnapshot:
-    """All upstreams as of a revision of the store."""
+    """All upstreams as of a revision of the store, or a page of them.
+
+    ``more`` is where the list goes on, nothing on its last page.
+    """
 
     revision: int
     upstreams: tuple[Upstream, ...]
     skipped: tuple[SkippedEntry, ...] = ()
+    more: str = ''
 
 
 @attrs.frozen(kw_only=True, repr=False)
--- a/packages/savoryhaven/tests/test_reader.py
+++ b/packages/savoryhaven/tests/test_reader.py
@@ -5,6 +5,7 @@
 
 from _savoryhaven.knowledge import reader as reader_module
 from _savoryhaven.operation import counters
+from savoryhaven_standins import fakes
 from savoryhaven_standins import tagged
 
 
@@ -105,3 +106,69 @@
     assert date(10.0, 11.02, news=False) == 11.0
     assert date(10.0, 11.02, news=True) == 10.0
     assert date(10.0, 10.3, news=False) == 10.0
+
+
+async def start_together(count: int, store: tagged.Store) -> tagged.Network:
+    """Let VMs that know one seed read a store for two seconds."""
+    network = tagged.Network()
+    tasks = []
+    for number in range(1, count + 1):
+        vm = tagged.Vm(clock=fakes.LoopClock(), seed=number)
+        vm.join(network, f'10.0.0.{number}')
+        vm.reader.replace_store(store)
+        tasks.append(asyncio.create_task(vm.reader.run_upstreams()))
+    for _ in range(20):
+        now = asyncio.get_running_loop().time()
+        for vm in network.vms.values():
+            seeds = [] if vm.host == '10.0.0.1' else ['10.0.0.1']
+            vm.gossip.send_heartbeats(seeds, now)
+        network.deliver()
+        await asyncio.sleep(0.1)
+        network.deliver()
+    for task in tasks:
+        task.cancel()
+    return network
+
+
+@fakes.run_virtually
+async def test_a_fleet_that_starts_at_once_reads_a_long_list_a_few_times() -> (
+    None
+):
+    # Sixty VMs come back together, and a full list takes twenty calls.
+    store = tagged.Store(
+        upstreams=tuple(tagged.make_upstream(n) for n in range(1, 1_001)),
+        page_size=50,
+        delay_s=0.01,
+    )
+    network = await start_together(60, store)
+    for vm in network.vms.values():
+        assert len(vm.catalogue.list_present()) == 1_000, vm.host
+    assert store.calls.count('list_upstreams') < 60 + 10 * 20
+
+
+@fakes.run_virtually
+async def test_a_short_list_is_read_at_once() -> None:
+    store = tagged.Store(upstreams=(tagged.make_upstream(1),), delay_s=0.01)
+    vm = tagged.Vm(clock=fakes.LoopClock())
+    vm.join(tagged.Network(), '10.0.0.1')
+    vm.reader.replace_store(store)
+    task = asyncio.create_task(vm.reader.run_upstreams())
+    await asyncio.sleep(0.05)
+    task.cancel()
+    assert vm.catalogue.list_present()
+
+
+@fakes.run_virtually
+async def test_a_vm_without_peers_reads_a_long_list_by_itself() -> None:
+    store = tagged.Store(
+        upstreams=tuple(tagged.make_upstream(n) for n in range(1, 201)),
+        page_size=50,
+        delay_s=0.01,
+    )
+    vm = tagged.Vm(clock=fakes.LoopClock())
+    vm.join(tagged.Network(), '10.0.0.1')
+    vm.reader.replace_store(store)
+    task = asyncio.create_task(vm.reader.run_upstreams())
+    await asyncio.sleep(0.6)
+    task.cancel()
+    assert len(vm.catalogue.list_present()) == 200
