--- a/packages/savoryhaven-standins/src/savoryhaven_standins/caller.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/caller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 import typing
 import uuid
 
@@ -31,7 +32,7 @@
     def note_failure(self, what: str) -> None:
         """Count a broken flow, and remember why."""
         self.broken += 1
-        self.failures.append(what)
+        self.failures.append(f'{time.strftime("%H:%M:%S")} {what}')
 
 
 @contextlib.asynccontextmanager
--- a/packages/savoryhaven-standins/src/savoryhaven_standins/demo.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/demo.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import pathlib
+import shutil
 import signal
 import sys
 import tempfile
@@ -92,6 +93,7 @@
 
     def __init__(self, folder: pathlib.Path, seconds: float) -> None:
         self._console = tables.make_console()
+        self._folder = folder
         self._seconds = seconds
         self.deployment = deployment_module.Deployment(folder, SERVICES)
         self._traffic = {
@@ -229,6 +231,12 @@
         self._console.print(shown)
         return kept
 
+    def keep_logs(self, target: pathlib.Path) -> None:
+        """Copy the logs of all processes, in place of an earlier copy."""
+        shutil.rmtree(target, ignore_errors=True)
+        shutil.copytree(self._folder, target)
+        self._say(f'the logs are kept in {target}')
+
     def show_addresses(self) -> None:
         """Print what can be tried by hand."""
         url = self.deployment.platform_url
@@ -247,6 +255,8 @@
         demo = Demo(pathlib.Path(folder), options.seconds)
         try:
             kept = await demo.run()
+            if not kept:
+                demo.keep_logs(options.logs)
             if options.keep:
                 await _wait_for_interrupt(demo)
         finally:
@@ -272,6 +282,12 @@
     parser.add_argument(
         '--seconds', type=float, default=10.0, help='length of a scene'
     )
+    parser.add_argument(
+        '--logs',
+        type=pathlib.Path,
+        default=pathlib.Path('target/demo-logs'),
+        help='where logs are kept if a promise was broken',
+    )
     options = parser.parse_args(words)
     # What was started here has to end however this process is ended.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
--- a/packages/savoryhaven/src/_savoryhaven/placement/selection.py
+++ b/packages/savoryhaven/src/_savoryhaven/placement/selection.py
@@ -42,7 +42,7 @@
     now: float
     failure_domain: str
     excluded: frozenset[int] = frozenset()
-    source: random.Random = attrs.field(factory=random.Random, repr=False)
+    source: random.Random = attrs.field(factory=random.Random)
 
 
 @attrs.frozen(eq=False, repr=False)
--- a/packages/savoryhaven/tests/test_reader.py
+++ b/packages/savoryhaven/tests/test_reader.py
@@ -135,40 +135,38 @@
     None
 ):
     # Sixty VMs come back together, and a full list takes twenty calls.
-    store = tagged.Store(
-        upstreams=tuple(tagged.make_upstream(n) for n in range(1, 1_001)),
-        page_size=50,
-        delay_s=0.01,
-    )
+    store = make_store(1_000, 50)
     network = await start_together(60, store)
     for vm in network.vms.values():
         assert len(vm.catalogue.list_present()) == 1_000, vm.host
     assert store.calls.count('list_upstreams') < 60 + 10 * 20
 
 
-@fakes.run_virtually
-async def test_a_short_list_is_read_at_once() -> None:
-    store = tagged.Store(upstreams=(tagged.make_upstream(1),), delay_s=0.01)
+async def read_alone(store: tagged.Store, seconds: float) -> int:
+    """Let a VM without peers read a store; return the upstreams it knows."""
     vm = tagged.Vm(clock=fakes.LoopClock())
     vm.join(tagged.Network(), '10.0.0.1')
     vm.reader.replace_store(store)
     task = asyncio.create_task(vm.reader.run_upstreams())
-    await asyncio.sleep(0.05)
+    await asyncio.sleep(seconds)
     task.cancel()
-    assert vm.catalogue.list_present()
+    return len(vm.catalogue.list_present())
 
 
-@fakes.run_virtually
-async def test_a_vm_without_peers_reads_a_long_list_by_itself() -> None:
-    store = tagged.Store(
-        upstreams=tuple(tagged.make_upstream(n) for n in range(1, 201)),
-        page_size=50,
+def make_store(count: int, page_size: int) -> tagged.Store:
+    """Return a store of some upstreams that takes a moment to answer."""
+    return tagged.Store(
+        upstreams=tuple(tagged.make_upstream(n + 1) for n in range(count)),
+        page_size=page_size,
         delay_s=0.01,
     )
-    vm = tagged.Vm(clock=fakes.LoopClock())
-    vm.join(tagged.Network(), '10.0.0.1')
-    vm.reader.replace_store(store)
-    task = asyncio.create_task(vm.reader.run_upstreams())
-    await asyncio.sleep(0.6)
-    task.cancel()
-    assert len(vm.catalogue.list_present()) == 200
+
+
+@fakes.run_virtually
+async def test_a_short_list_is_read_at_once() -> None:
+    assert await read_alone(make_store(1, 50), 0.05) == 1
+
+
+@fakes.run_virtually
+async def test_a_vm_without_peers_reads_a_long_list_by_itself() -> None:
+    assert await read_alone(make_store(200, 50), 0.6) == 200
--- a/packages/savoryhaven/tests/test_vm.py
+++ b/packages/savoryhaven/tests/test_vm.py
@@ -5,6 +5,7 @@
 from nose2.tools import params
 
 from _savoryhaven.tracking import joining
+from _savoryhaven.tracking import vm
 from savoryhaven_standins import fakes
 
 
@@ -47,18 +48,21 @@
         assert loop.time() - started_at <= timeout_s + 0.1
 
 
+async def wait_until_serving(starting: vm.Vm) -> None:
+    """Wait for a VM, to a millisecond."""
+    while not starting.context.serving:
+        await asyncio.sleep(0.001)
+
+
 @fakes.run_virtually
 async def test_a_vm_knows_all_that_served_before_it_when_it_begins() -> None:
     # VMs that start together share a seed only. One that did not know of an
     # owner would decide about that owner's flows by itself.
     async with fakes.Cluster(seed=63, domains={'a': 1}) as cluster:
         await cluster.apply(fakes.make_document())
-        first = cluster.start_vm('b2', 'b', seeds=['a1'])
-        while not first.context.serving:
-            await asyncio.sleep(0.001)
+        await wait_until_serving(cluster.start_vm('b2', 'b', seeds=['a1']))
         second = cluster.start_vm('b1', 'b', seeds=['a1'])
-        while not second.context.serving:
-            await asyncio.sleep(0.001)
+        await wait_until_serving(second)
         assert second.context.members.get('b2') is not None
 
 
@@ -67,8 +71,7 @@
     async with fakes.Cluster(seed=64, domains={'a': 1}) as cluster:
         await cluster.apply(fakes.make_document())
         alone = cluster.start_vm('b1', 'b', seeds=[])
-        while not alone.context.serving:
-            await asyncio.sleep(0.001)
+        await wait_until_serving(alone)
         assert alone.context.members.get('a1') is not None
 
 
@@ -83,6 +86,5 @@
         )
         loop = asyncio.get_running_loop()
         started_at = loop.time()
-        while not late.context.serving:
-            await asyncio.sleep(0.001)
+        await wait_until_serving(late)
         assert loop.time() - started_at < joining.INTRODUCTION_S + 0.1
