Give requests up as load after twice their route's target

The fabric hashes by the number of VMs: with each that comes back nearly all flows go to other VMs, the ones before see no answer, and counted their requests as load until the route's timeout. Change: such a request counts for twice the route's target, and then as one request in the lasting load, which steers but refuses nothing. The new test failed before.

--- a/packages/savoryhaven/src/_savoryhaven/datapath/flows.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/flows.py
@@ -110,19 +110,29 @@
         if flow is not None:
             _end_request(flow, now)
 
-    def expire(self, now: float, *, idle_s: float, request_s: float) -> None:
-        """Forget idle flows and requests without answer.
-
-        A flow is idle after ``idle_s``; a request is given up after
-        ``request_s``.
+    def expire(
+        self,
+        now: float,
+        *,
+        idle_s: float,
+        read_patience: typing.Callable[[packets.FlowKey], float],
+    ) -> None:
+        """Forget idle flows, and give up requests without an answer.
+
+        A flow is idle after ``idle_s``; a request is given up after what
+        ``read_patience`` returns for its flow, in seconds. Its answer may be
+        seen by another VM, which the flow's packets reach by now.
         """
         idle = []
         for key, flow in self._flows.items():
             limit_s = min(idle_s, ENDED_KEPT_S) if flow.ended else idle_s
             if now - flow.seen_at > limit_s:
                 idle.append(key)
-            elif now - flow.waiting_since > request_s:
+            elif flow.waiting_since == math.inf:
+                continue
+            elif now - flow.waiting_since > read_patience(key):
                 _end_request(flow, now)
+                flow.state.note_missing_answer(now)
         for key in idle:
             self.remove(key, now)
 
--- a/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
@@ -29,6 +29,12 @@
 # An upstream's last answers may be acknowledged so long after its entry is
 # gone, in seconds: round trips, and a client's own delay.
 LAST_ANSWER_S = 0.1
+# A request without an answer counts as load for so many times its route's
+# target. Most that wait longer are answered past this VM: when VMs come and
+# go, the fabric hands nearly all flows to other ones.
+PATIENCE_TARGETS = 2.0
+# The same without a route, in seconds: a few targets.
+ORPHAN_PATIENCE_S = 2.0
 # Flows that a VM observes: at 365 B each they take 7.3 of its 25 MB.
 FLOW_LIMIT = 20_000
 OPENING_LIMIT = 5_000
@@ -103,14 +109,22 @@
         self.openings.expire(now)
         current = self._routes.current
         if current is not None:
-            longest_s = max(
-                (route.timeout_s for route in current.routes.values()),
-                default=current.idle_timeout_s,
-            )
             self.flows.expire(
-                now, idle_s=current.idle_timeout_s, request_s=longest_s
+                now,
+                idle_s=current.idle_timeout_s,
+                read_patience=self._read_patience,
             )
 
+    def _read_patience(self, key: packets.FlowKey) -> float:
+        """Return how long a request may go without an answer, in seconds.
+
+        An open flow may outlive its route.
+        """
+        route = self._routes.find(key)
+        if route is None:
+            return ORPHAN_PATIENCE_S
+        return min(route.timeout_s, PATIENCE_TARGETS * route.target_latency_s)
+
     def _receive_later(self, packet: packets.FlowPacket, now: float) -> None:
         """Forward a packet of an open flow to the flow's upstream."""
         key = packet.key
--- a/packages/savoryhaven/src/_savoryhaven/placement/upstreams.py
+++ b/packages/savoryhaven/src/_savoryhaven/placement/upstreams.py
@@ -19,6 +19,9 @@
 # upstreams is silent or sheds load are served worse (docs/design).
 SHORT_ANSWER_LOAD = 1.0
 
+# The same for a request that is given up without an answer.
+MISSING_ANSWER_LOAD = 1.0
+
 
 @attrs.define(eq=False, repr=False)
 class UpstreamState:
@@ -93,6 +96,14 @@
         self.update_averages(now)
         self.lasting_load += SHORT_ANSWER_LOAD
 
+    def note_missing_answer(self, now: float) -> None:
+        """Note a request that is given up: perhaps it will never be answered.
+
+        It counts less than while it was at work, and for longer.
+        """
+        self.update_averages(now)
+        self.lasting_load += MISSING_ANSWER_LOAD
+
     def note_failure(self, sent_at: float, now: float) -> None:
         """Note an opening, sent at a time, that got no answer.
 
--- a/packages/savoryhaven/tests/test_forwarder.py
+++ b/packages/savoryhaven/tests/test_forwarder.py
@@ -322,3 +322,25 @@
         )
     )
     assert not vm.resets
+
+
+def test_requests_that_other_vms_see_answered_stop_counting_soon() -> None:
+    # The fabric hands nearly all flows to other VMs when one comes or goes:
+    # their answers are seen there, and nothing of them is at work here.
+    vm = make_vm(1)
+    tag = open_flow(vm)
+    vm.receive(
+        tagged.make_packet(
+            tag=tag, sequence=150, acknowledged=1, payload_bytes=50
+        )
+    )
+    state = vm.catalogue.by_tag[tag]
+    assert state.outstanding == 1
+    vm.clock.now += 0.4
+    vm.forwarder.expire(vm.clock.now)
+    assert state.outstanding == 1
+    # The route's target is 0.25 s, and its timeout 1.5 s.
+    vm.clock.now += 0.2
+    vm.forwarder.expire(vm.clock.now)
+    assert state.outstanding == 0
+    assert state.lasting_load > 0
