--- a/packages/savoryhaven-standins/src/savoryhaven_standins/experiments/__main__.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/experiments/__main__.py
@@ -58,7 +58,7 @@
         shown.add_row(*row)
     tables.make_console().print(shown)
     for name in result.strays:
-        print(f'a packet reached a wrong host: {name}')
+        print(f'a packet reached a wrong upstream: {name}')
     for name in result.ran_again:
         print(f'{name} ran more than once')
 
--- a/packages/savoryhaven-standins/src/savoryhaven_standins/experiments/days.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/experiments/days.py
@@ -2,7 +2,7 @@
 
 {
   "seconds": 20, "vms": 3, "arrivals_per_s": 30,
-  "hosts": {"desk": 4, "vault": 2},
+  "upstreams": {"desk": 4, "vault": 2},
   "faults": [{"what": "kill_vm", "at_s": 5, "vm": "vm-1", "for_s": 2}],
 }
 """
@@ -69,15 +69,15 @@
 
 
 @attrs.frozen(kw_only=True)
-class CrashHost(Fault):
-    """A host crashes, and starts again under its id after ``for_s``."""
+class CrashUpstream(Fault):
+    """An upstream crashes, and starts again under its id after ``for_s``."""
 
     service: str
 
 
 @attrs.frozen(kw_only=True)
-class DrainHost(Fault):
-    """A host drains for ``for_s``, and leaves."""
+class DrainUpstream(Fault):
+    """An upstream drains for ``for_s``, and leaves."""
 
     service: str
 
@@ -104,8 +104,8 @@
     | PauseVm
     | SpoilLink
     | SpoilStore
-    | CrashHost
-    | DrainHost
+    | CrashUpstream
+    | DrainUpstream
     | LosePackets
     | Burst
 )
@@ -115,8 +115,8 @@
     'pause_vm': PauseVm,
     'spoil_link': SpoilLink,
     'spoil_store': SpoilStore,
-    'crash_host': CrashHost,
-    'drain_host': DrainHost,
+    'crash_upstream': CrashUpstream,
+    'drain_upstream': DrainUpstream,
     'lose_packets': LosePackets,
     'burst': Burst,
 }
@@ -127,7 +127,7 @@
     """A site, its callers, and what happens to it.
 
     A flow carries one to ``requests_max`` requests, each of which takes a
-    host ``work_s`` in one of its ``slots``.
+    upstream ``work_s`` in one of its ``slots``.
     """
 
     seconds: float = attrs.field(
@@ -141,7 +141,7 @@
         default=3,
         validator=(attrs.validators.ge(1), attrs.validators.le(VMS_MAX)),
     )
-    hosts: dict[str, int] = attrs.field(
+    upstreams: dict[str, int] = attrs.field(
         factory=lambda: {'desk': 4, 'vault': 2}
     )
     slots: int = attrs.field(default=3, validator=attrs.validators.ge(1))
--- a/packages/savoryhaven-standins/src/savoryhaven_standins/experiments/play.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/experiments/play.py
@@ -50,7 +50,7 @@
 
 @attrs.frozen
 class Sample:
-    """Requests at work at each host, by its name, at a moment."""
+    """Requests at work at each upstream, by its name, at a moment."""
 
     at_s: float
     loads: typing.Mapping[str, int]
@@ -67,7 +67,7 @@
 
 @attrs.frozen
 class Result:
-    """All that a day showed; ``strays`` are packets at a wrong host."""
+    """All that a day showed; ``strays`` are packets at a wrong upstream."""
 
     day: days.Day
     requests: list[Request] = attrs.field(factory=list)
@@ -100,7 +100,7 @@
         self._callers: set[asyncio.Task[None]] = set()
 
     async def run(self) -> Result:
-        """Play the day, and return what callers and hosts saw."""
+        """Play the day, and return what callers and upstreams saw."""
         day = self._day
         async with site_module.Site(
             vms=day.vms,
@@ -110,7 +110,7 @@
             work_s=day.work_s,
         ) as site:
             self._site = site
-            for service, count in day.hosts.items():
+            for service, count in day.upstreams.items():
                 for _ in range(count):
                     await site.add_host(service)
             await self._play()
@@ -150,7 +150,7 @@
     async def _arrive(self) -> None:
         """Let callers come at random moments until the day is over."""
         pool = [self._site.add_client() for _ in range(CLIENTS)]
-        services = [name for name in SERVICES if self._day.hosts.get(name)]
+        services = [name for name in SERVICES if self._day.upstreams.get(name)]
         while self._read_time() < self._day.seconds:
             rate = self._day.arrivals_per_s * self._factor
             await asyncio.sleep(self._random.expovariate(rate))
@@ -198,8 +198,8 @@
         match fault:
             case days.KillVm() | days.StopVm() | days.PauseVm():
                 return await self._disturb_vm(fault)
-            case days.CrashHost() | days.DrainHost():
-                return await self._disturb_host(fault)
+            case days.CrashUpstream() | days.DrainUpstream():
+                return await self._disturb_upstream(fault)
             case days.SpoilLink() | days.SpoilStore():
                 return await self._disturb_store(fault)
             case days.LosePackets(share=share):
@@ -230,17 +230,17 @@
                 processes.send_signal(vm, signal.SIGCONT)
                 return f'{vm} paused'
 
-    async def _disturb_host(
-        self, fault: days.CrashHost | days.DrainHost
+    async def _disturb_upstream(
+        self, fault: days.CrashUpstream | days.DrainUpstream
     ) -> str:
-        host = self._find_host(fault.service)
+        host = self._find_upstream(fault.service)
         match fault:
-            case days.CrashHost(service=service):
+            case days.CrashUpstream(service=service):
                 host.crash()
                 await asyncio.sleep(fault.for_s)
                 await host.start()
                 return f'{host.name} ({service}) crashed'
-            case days.DrainHost(service=service):
+            case days.DrainUpstream(service=service):
                 await host.drain()
                 await asyncio.sleep(fault.for_s)
                 await host.leave()
@@ -272,13 +272,13 @@
         await asyncio.sleep(length_s)
         await self._site.start_vm(vm)
 
-    def _find_host(self, service: str) -> hosts_module.Host:
-        """Return a serving host; raises ``LookupError`` if none is left."""
+    def _find_upstream(self, service: str) -> hosts_module.Host:
+        """Return a serving one; raises ``LookupError`` if none is left."""
         for host in self._site.hosts:
             serves = host.alive and host.draining_since is None
             if host.service == service and serves:
                 return host
-        raise LookupError(f'no host of {service} is left')
+        raise LookupError(f'no upstream of {service} is left')
 
 
 def count_endings(
--- a/packages/savoryhaven-standins/src/savoryhaven_standins/experiments/report.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/experiments/report.py
@@ -83,7 +83,7 @@
     day = result.day
     summary = (
         f'{day.seconds:g} s with {day.vms} VMs, seed {day.seed}; '
-        f'{len(result.strays)} packets at a wrong host, '
+        f'{len(result.strays)} packets at a wrong upstream, '
         f'{len(result.ran_again)} requests that ran more than once.'
     )
     return _PAGE.render(
@@ -122,7 +122,7 @@
 
 
 def _plot_loads(result: play.Result) -> str:
-    """Plot the requests at work at each host."""
+    """Plot the requests at work at each upstream."""
     drawn = figure.Figure(figsize=(10, 3.5), layout='constrained')
     axes = drawn.subplots()
     names = {name for sample in result.samples for name in sample.loads}
--- a/packages/savoryhaven-standins/tests/test_play.py
+++ b/packages/savoryhaven-standins/tests/test_play.py
@@ -8,16 +8,16 @@
 from savoryhaven_standins.experiments import days
 from savoryhaven_standins.experiments import play
 
-# All that is done to VMs, hosts and the store, in a few seconds.
+# All that is done to VMs, upstreams and the store, in a few seconds.
 SHORT_DAY = """{
   "seconds": 7, "seed": 90, "vms": 2, "work_s": 0.02,
   "faults": [
     {"what": "kill_vm", "at_s": 1, "vm": "vm-1", "for_s": 0.2},
     {"what": "spoil_store", "at_s": 2, "mode": "busy", "for_s": 1},
-    {"what": "crash_host", "at_s": 3, "service": "desk", "for_s": 0.5},
+    {"what": "crash_upstream", "at_s": 3, "service": "desk", "for_s": 0.5},
     {"what": "spoil_link", "at_s": 3, "vm": "vm-2", "link": "reset",
      "for_s": 0.5},
-    {"what": "drain_host", "at_s": 4, "service": "vault", "for_s": 1.5},
+    {"what": "drain_upstream", "at_s": 4, "service": "vault", "for_s": 1.5},
     {"what": "burst", "at_s": 4, "factor": 2, "for_s": 1},
     {"what": "pause_vm", "at_s": 5, "vm": "vm-2", "for_s": 0.3},
     {"what": "stop_vm", "at_s": 6, "vm": "vm-1", "for_s": 0.1},
@@ -32,7 +32,7 @@
     assert not result.strays
     assert not result.ran_again
     counts = play.count_endings(result.requests)
-    for service in day.hosts:
+    for service in day.upstreams:
         assert counts[service][play.Ending.SERVED] > 30, counts
         assert not counts[service][play.Ending.MIXED]
     assert {name for s in result.samples for name in s.loads}
