--- a/packages/savoryhaven-standins/src/savoryhaven_standins/experiments/days.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/experiments/days.py
@@ -126,7 +126,7 @@
 class Day:
     """A site, its callers, and what happens to it.
 
-    A flow carries one to ``requests_max`` requests, each of which takes a
+    A flow carries one to ``requests_max`` requests, each of which takes an
     upstream ``work_s`` in one of its ``slots``.
     """
 
