Merge what the change had written twice

Averages over answers (service time, answer length) share one class; a short and a missing answer are noted alike, with one constant; a reader's turn by rank is computed in one place; faults that soak and experiments inject are the site's. The dump lists live VMs once; a field that nobody read and a wrapper are gone. Behaviour is unchanged.

--- a/packages/savoryhaven-standins/src/savoryhaven_standins/experiments/__main__.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/experiments/__main__.py
@@ -10,6 +10,7 @@
 import sys
 import typing
 
+import attrs
 from rich import table as rich_table
 
 from _savoryhaven import errors
@@ -41,7 +42,7 @@
         print(exc, file=sys.stderr)
         return EXIT_USAGE
     if chosen.seed is not None:
-        day = days.change_seed(day, chosen.seed)
+        day = attrs.evolve(day, seed=chosen.seed)
     result = asyncio.run(play.Player(day).run())
     _print_table(result)
     if chosen.report is not None:
--- a/packages/savoryhaven-standins/src/savoryhaven_standins/experiments/days.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/experiments/days.py
@@ -180,11 +180,6 @@
         raise _fail(str(exc)) from exc
 
 
-def change_seed(day: Day, seed: int) -> Day:
-    """Return the same day with other choices of callers."""
-    return attrs.evolve(day, seed=seed)
-
-
 def _structure_fault(value: typing.Any, _: typing.Any) -> Fault:
     fields = dict(value)
     kind = KINDS.get(fields.pop('what', None))
--- a/packages/savoryhaven-standins/src/savoryhaven_standins/experiments/play.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/experiments/play.py
@@ -12,9 +12,7 @@
 from savoryhaven_standins.experiments import days
 from savoryhaven_standins.users_platform import clients as clients_module
 from savoryhaven_standins.users_platform import hosts as hosts_module
-from savoryhaven_standins.users_platform import proxy
 from savoryhaven_standins.users_platform import site as site_module
-from savoryhaven_standins.users_platform import store
 
 # Addresses that callers come from.
 CLIENTS = 24
@@ -203,9 +201,7 @@
             case days.SpoilLink() | days.SpoilStore():
                 return await self._disturb_store(fault)
             case days.LosePackets(share=share):
-                self._site.fabric.loss = share
-                await asyncio.sleep(fault.for_s)
-                self._site.fabric.loss = 0.0
+                await self._site.lose_packets(share, fault.for_s)
                 return f'{share:.0%} of packets lost'
             case days.Burst(factor=factor):
                 self._factor *= factor
@@ -216,7 +212,6 @@
     async def _disturb_vm(
         self, fault: days.KillVm | days.StopVm | days.PauseVm
     ) -> str:
-        processes = self._site.processes
         match fault:
             case days.KillVm(vm=vm):
                 await self._end_vm(vm, signal.SIGKILL, fault.for_s)
@@ -225,9 +220,7 @@
                 await self._end_vm(vm, signal.SIGTERM, fault.for_s)
                 return f'{vm} stopped'
             case days.PauseVm(vm=vm):
-                processes.send_signal(vm, signal.SIGSTOP)
-                await asyncio.sleep(fault.for_s)
-                processes.send_signal(vm, signal.SIGCONT)
+                await self._site.pause_vm(vm, fault.for_s)
                 return f'{vm} paused'
 
     async def _disturb_upstream(
@@ -251,17 +244,10 @@
     ) -> str:
         match fault:
             case days.SpoilLink(vm=vm, link=link):
-                spoiled = self._site.proxies[vm]
-                spoiled.link = link
-                if link is proxy.Link.RESET:
-                    spoiled.reset()
-                await asyncio.sleep(fault.for_s)
-                spoiled.link = proxy.Link.GOOD
+                await self._site.spoil_link(vm, link, fault.for_s)
                 return f'{vm} to store {link.value}'
             case days.SpoilStore(mode=mode):
-                self._site.store.mode = mode
-                await asyncio.sleep(fault.for_s)
-                self._site.store.mode = store.Mode.UP
+                await self._site.spoil_store(mode, fault.for_s)
                 return f'store {mode.value}'
 
     async def _end_vm(
--- a/packages/savoryhaven-standins/src/savoryhaven_standins/experiments/report.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/experiments/report.py
@@ -147,9 +147,7 @@
 
 def _render(drawn: figure.Figure) -> str:
     """Return a figure as an SVG element."""
-    text = io.StringIO()
-    drawn.savefig(text, format='svg')
-    return (
-        text.getvalue().partition('<svg')[1]
-        + (text.getvalue().partition('<svg')[2])
-    )
+    drawing = io.StringIO()
+    drawn.savefig(drawing, format='svg')
+    text = drawing.getvalue()
+    return text[text.index('<svg') :]
--- a/packages/savoryhaven-standins/src/savoryhaven_standins/soak.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/soak.py
@@ -207,9 +207,7 @@
         if name is None:
             return
         self._stopping.add(name)
-        self._site.processes.send_signal(name, signal.SIGSTOP)
-        await asyncio.sleep(length_s)
-        self._site.processes.send_signal(name, signal.SIGCONT)
+        await self._site.pause_vm(name, length_s)
         self._stopping.discard(name)
 
     async def _reload_vm(self, length_s: float) -> None:
@@ -224,18 +222,12 @@
             store.Mode.MANY,
             store.Mode.SLOW,
         )
-        self._site.store.mode = self._random.choice(modes)
-        await asyncio.sleep(length_s)
-        self._site.store.mode = store.Mode.UP
+        await self._site.spoil_store(self._random.choice(modes), length_s)
 
     async def _spoil_link(self, length_s: float) -> None:
         link = self._random.choice(list(proxy.Link))
-        chosen = self._random.choice(list(self._site.proxies.values()))
-        chosen.link = link
-        if link is proxy.Link.RESET:
-            chosen.reset()
-        await asyncio.sleep(length_s)
-        chosen.link = proxy.Link.GOOD
+        name = self._random.choice(list(self._site.proxies))
+        await self._site.spoil_link(name, link, length_s)
 
     def _draw_host(self) -> hosts_module.Host | None:
         """Return a host whose service keeps another one without it."""
@@ -276,9 +268,7 @@
         await self._site.configure(number, desk_to=desk_to)
 
     async def _lose_packets(self, length_s: float) -> None:
-        self._site.fabric.loss = LOSS
-        await asyncio.sleep(length_s)
-        self._site.fabric.loss = 0.0
+        await self._site.lose_packets(LOSS, length_s)
 
     async def _forget_history(self, length_s: float) -> None:
         await self._site.store.forget_history()
--- a/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/site.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/site.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import pathlib
+import signal
 import socket
 import sys
 import tempfile
@@ -187,6 +188,37 @@
             'plugins': ['savoryhaven_platform', *self._plugins],
         }
 
+    async def pause_vm(self, name: str, length_s: float) -> None:
+        """Keep a VM's process from running for a while."""
+        self.processes.send_signal(name, signal.SIGSTOP)
+        await asyncio.sleep(length_s)
+        self.processes.send_signal(name, signal.SIGCONT)
+
+    async def spoil_store(
+        self, mode: store_module.Mode, length_s: float
+    ) -> None:
+        """Let the store treat all calls badly for a while."""
+        self.store.mode = mode
+        await asyncio.sleep(length_s)
+        self.store.mode = store_module.Mode.UP
+
+    async def spoil_link(
+        self, name: str, link: proxy_module.Link, length_s: float
+    ) -> None:
+        """Spoil the connections between a VM and the store for a while."""
+        spoiled = self.proxies[name]
+        spoiled.link = link
+        if link is proxy_module.Link.RESET:
+            spoiled.reset()
+        await asyncio.sleep(length_s)
+        spoiled.link = proxy_module.Link.GOOD
+
+    async def lose_packets(self, share: float, length_s: float) -> None:
+        """Lose a share of the clients' packets for a while."""
+        self.fabric.loss = share
+        await asyncio.sleep(length_s)
+        self.fabric.loss = 0.0
+
     async def wait_ready(self, name: str) -> None:
         """Wait for a VM; raises ``TimeoutError`` or what it logged."""
         async with asyncio.timeout(READY_S):
--- a/packages/savoryhaven/src/_savoryhaven/datapath/flows.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/flows.py
@@ -132,7 +132,7 @@
                 continue
             elif now - flow.waiting_since > read_patience(key):
                 _end_request(flow, now)
-                flow.state.note_missing_answer(now)
+                flow.state.note_failed_answer(now)
         for key in idle:
             self.remove(key, now)
 
--- a/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
@@ -197,10 +197,10 @@
         lengths = self._answer_lengths.setdefault(
             packet.key[2:], answers.AnswerLengths()
         )
-        usual_bytes = lengths.average_bytes
+        usual_bytes = lengths.value
         if not lengths.record(answer_bytes):
             return
-        state.note_short_answer(now)
+        state.note_failed_answer(now)
         self._counters[_Count.SHORT_ANSWERS] += 1
         self._events.emit(
             'answer_short',
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/catalogue.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/catalogue.py
@@ -37,7 +37,6 @@
     """An upstream describes itself differently."""
 
     upstream: records.Upstream
-    before: records.Upstream
 
 
 @attrs.frozen(repr=False)
@@ -205,7 +204,7 @@
         if upstream.started_ms != before.started_ms:
             state.failures = 0
         self._note_warm_up(state, now)
-        return Added(upstream) if returned else Updated(upstream, before)
+        return Added(upstream) if returned else Updated(upstream)
 
     def _insert(
         self, upstream: records.Upstream, now: float
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
@@ -326,7 +326,7 @@
             match change:
                 case catalogue_module.Added():
                     self._events.emit('upstream_added', **fields)
-                case catalogue_module.Updated(upstream, _):
+                case catalogue_module.Updated(upstream):
                     self._events.emit(
                         'upstream_updated',
                         draining=upstream.draining,
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/reader.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/reader.py
@@ -98,8 +98,7 @@
         rank = self._gossip.members.compute_rank(now)
         if rank == 0:
             return True
-        patience_s = min(PATIENCE_MAX_S, PATIENCE_S + rank * RANK_PATIENCE_S)
-        return now - confirmed_at > patience_s
+        return now - confirmed_at > _compute_turn(PATIENCE_S, rank)
 
     def compute_pause(self, now: float) -> float:
         """Return for how many seconds to wait after failed calls."""
@@ -230,8 +229,7 @@
         while True:
             now = self._clock.read_monotonic()
             rank = self._gossip.members.compute_rank(now)
-            turn_s = FIRST_HEARD_S + RANK_PATIENCE_S * rank
-            if now - began_at >= min(PATIENCE_MAX_S, turn_s):
+            if now - began_at >= _compute_turn(FIRST_HEARD_S, rank):
                 return False
             await asyncio.sleep(LOOK_S)
             if self._catalogue.revision:
@@ -272,6 +270,11 @@
             )
 
 
+def _compute_turn(first_s: float, rank: int) -> float:
+    """Return after how many seconds a VM reads, if the first does so then."""
+    return min(PATIENCE_MAX_S, first_s + rank * RANK_PATIENCE_S)
+
+
 def _date_answer(asked_at: float, now: float, *, news: bool) -> float:
     """Return a time at which a watch's answer was certainly true.
 
--- a/packages/savoryhaven/src/_savoryhaven/operation/pages.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/pages.py
@@ -121,6 +121,7 @@
     """Return the whole state of the process, its flows as counts."""
     now = node.read_time()
     current = node.routes.current
+    live = {member.address.vm_id for member in node.members.list_live(now)}
     return {
         'status': build_status(node),
         'settings': attrs.asdict(node.settings),
@@ -142,11 +143,7 @@
             for state in node.catalogue.list_states()
         ],
         'members': [
-            {
-                **attrs.asdict(address),
-                'live': address.vm_id
-                in {m.address.vm_id for m in node.members.list_live(now)},
-            }
+            {**attrs.asdict(address), 'live': address.vm_id in live}
             for address in node.members.list_addresses()
         ],
     }
--- a/packages/savoryhaven/src/_savoryhaven/placement/admission.py
+++ b/packages/savoryhaven/src/_savoryhaven/placement/admission.py
@@ -12,10 +12,8 @@
 
 import attrs
 
-# Answers until a route's service time is known well enough to refuse by it.
-LEARNING_ANSWERS = 20
-# Share of a new answer in the average service time: some thirty answers.
-AVERAGE_SHARE = 0.03
+from _savoryhaven.placement import averages
+
 # An answer that is expected at its target comes in time only half the time;
 # queues of a few requests vary by about a third of their length.
 URGENT_SHARE = 0.85
@@ -72,21 +70,16 @@
     return Admitted(expected_s)
 
 
-@attrs.define(eq=False, repr=False)
-class ServiceTime:
+class ServiceTime(averages.Average):
     """How long upstreams work on one request of a route, on average."""
 
-    answers: int = 0
-    average_s: float = 0.0
+    __slots__ = ()
 
     def record(self, latency_s: float, load_per_slot: float) -> None:
         """Note an answer, and the load that its request met."""
-        sample_s = latency_s / max(1.0, load_per_slot)
-        self.answers += 1
-        share = max(AVERAGE_SHARE, 1.0 / self.answers)
-        self.average_s += (sample_s - self.average_s) * share
+        self.add(latency_s / max(1.0, load_per_slot))
 
     @property
-    def known(self) -> bool:
-        """Return whether enough answers were seen to decide by."""
-        return self.answers >= LEARNING_ANSWERS
+    def average_s(self) -> float:
+        """Return the average, in seconds."""
+        return self.value
--- a/packages/savoryhaven/src/_savoryhaven/placement/upstreams.py
+++ b/packages/savoryhaven/src/_savoryhaven/placement/upstreams.py
@@ -14,13 +14,11 @@
 LASTING_LOAD_S = 4.0
 
 
-# What an answer that looks like an error adds to the lasting load, in
-# requests: its caller asks again. With more, days on which a part of the
-# upstreams is silent or sheds load are served worse (docs/design).
-SHORT_ANSWER_LOAD = 1.0
-
-# The same for a request that is given up without an answer.
-MISSING_ANSWER_LOAD = 1.0
+# What a request adds to the lasting load whose answer looks like an error, or
+# that is given up without one, in requests: its caller asks again. With more,
+# days on which a part of the upstreams is silent or sheds load are served
+# worse (docs/design).
+FAILED_ANSWER_LOAD = 1.0
 
 
 @attrs.define(eq=False, repr=False)
@@ -91,18 +89,13 @@
         self.answered_at = now
         self.failures = 0
 
-    def note_short_answer(self, now: float) -> None:
-        """Note an answer that looks like an error."""
-        self.update_averages(now)
-        self.lasting_load += SHORT_ANSWER_LOAD
-
-    def note_missing_answer(self, now: float) -> None:
-        """Note a request that is given up: perhaps it will never be answered.
+    def note_failed_answer(self, now: float) -> None:
+        """Note an answer that looks like an error, or one given up.
 
-        It counts less than while it was at work, and for longer.
+        It counts less than a request at work, and for longer.
         """
         self.update_averages(now)
-        self.lasting_load += MISSING_ANSWER_LOAD
+        self.lasting_load += FAILED_ANSWER_LOAD
 
     def note_failure(self, sent_at: float, now: float) -> None:
         """Note an opening, sent at a time, that got no answer.
--- a/packages/savoryhaven/tests/test_admission.py
+++ b/packages/savoryhaven/tests/test_admission.py
@@ -6,6 +6,7 @@
 import attrs
 
 from _savoryhaven.placement import admission
+from _savoryhaven.placement import averages
 from _savoryhaven.placement import selection
 from savoryhaven_standins import tagged
 
@@ -109,7 +110,7 @@
 
 def test_service_times_don_t_count_the_wait() -> None:
     learned = admission.ServiceTime()
-    for _ in range(admission.LEARNING_ANSWERS):
+    for _ in range(averages.LEARNING_ANSWERS):
         assert not learned.known
         learned.record(0.12, 2.0)
     assert learned.known
