--- a/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
@@ -222,6 +222,18 @@
             return
         if self._assembler.is_arriving(subject, now):
             return
+        incomplete = self._assembler.describe_incomplete(subject)
+        if incomplete:
+            self._counters[_Count.SNAPSHOTS_INCOMPLETE] += 1
+        self._counters[_Count.SNAPSHOTS_REQUESTED] += 1
+        self._events.emit(
+            'snapshot_requested',
+            subject=subject,
+            host=host,
+            configuration=self._routes.version,
+            catalogue_revision=self._catalogue.revision,
+            incomplete=incomplete,
+        )
         self._requested[subject] = now
         self._send_message(
             messages.SnapshotRequest(self.members.vm_id, subject), host
@@ -231,6 +243,7 @@
         self, request: messages.SnapshotRequest, host: str, now: float
     ) -> None:
         for part in self._list_parts(request.subject, now):
+            self._counters[_Count.SNAPSHOT_PARTS_SENT] += 1
             self._send_message(part, host)
 
     def _list_parts(
@@ -268,6 +281,7 @@
     def _handle_part(
         self, part: messages.SnapshotPart, host: str, now: float
     ) -> None:
+        self._counters[_Count.SNAPSHOT_PARTS_RECEIVED] += 1
         snapshot = self._assembler.add(part, host, now)
         if snapshot is None:
             return
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/reader.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/reader.py
@@ -153,8 +153,9 @@
     async def _read_once(
         self, read: typing.Callable[[], typing.Awaitable[None]]
     ) -> None:
-        """Read once; log the start and end of an outage, pause on failure."""
+        """Read once; log failures and the end of an outage."""
         self._counters[_Count.STORE_CALLS] += 1
+        began_at = self._clock.read_monotonic()
         try:
             await read()
         except errors.UnreadableError as exc:
@@ -167,8 +168,13 @@
             self._counters[_Count.STORE_FAILED] += 1
             self._failures += 1
             now = self._clock.read_monotonic()
-            if self._failures == 1:
-                self._events.emit('store_lost', code=exc.code, why=str(exc))
+            self._events.emit(
+                'store_lost' if self._failures == 1 else 'store_call_failed',
+                code=exc.code,
+                why=str(exc),
+                for_s=round(now - began_at, 3),
+                failures=self._failures,
+            )
             await asyncio.sleep(self.compute_pause(now))
             return
         if self._failures:
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/snapshots.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/snapshots.py
@@ -90,6 +90,17 @@
         arrived_at = self._arrived_at.get(subject, -math.inf)
         return now - arrived_at < MAX_PART_GAP_S
 
+    def describe_incomplete(self, subject: str) -> dict[str, str]:
+        """Return the version and the parts of each incomplete snapshot.
+
+        The keys are the hosts of its senders.
+        """
+        return {
+            host: assembly.describe()
+            for (kind, host), assembly in self._assemblies.items()
+            if kind == subject
+        }
+
     def add(
         self, part: messages.SnapshotPart, host: str, now: float
     ) -> Snapshot | None:
@@ -115,8 +126,13 @@
 
     def __init__(self) -> None:
         self._version = 0
+        self._count = 0
         self._parts: dict[int, bytes] = {}
 
+    def describe(self) -> str:
+        """Return the version, and how many of its parts have arrived."""
+        return f'{self._version}: {len(self._parts)} of {self._count}'
+
     def add(self, part: messages.SnapshotPart) -> typing.Any | None:
         """Add a part; return the body once it is complete."""
         if part.version < self._version:
@@ -127,6 +143,7 @@
             )
         if part.version > self._version:
             self._version = part.version
+            self._count = part.count
             self._parts.clear()
         self._parts[part.index] = part.data
         if len(self._parts) < part.count:
--- a/packages/savoryhaven/src/_savoryhaven/operation/http.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/http.py
@@ -75,15 +75,21 @@
     are not reused: an open one may hang forever while new ones work, and a
     VM makes a few calls a second at most.
     """
+    collector = _ResponseCollector()
     try:
         async with asyncio.timeout(timeout_s):
-            return await _exchange(address, method, path, body)
+            return await _exchange(address, method, path, body, collector)
     except (OSError, EOFError, httptools.HttpParserError) as exc:
-        raise _make_error(f'{method} {path}: {exc!r}') from exc
+        received = f'{len(collector.body)} bytes of the body received'
+        raise _make_error(f'{method} {path}: {exc!r}, {received}') from exc
 
 
 async def _exchange(
-    address: addresses.Address, method: str, path: str, body: bytes
+    address: addresses.Address,
+    method: str,
+    path: str,
+    body: bytes,
+    collector: _ResponseCollector,
 ) -> Response:
     async with asyncio.timeout(CONNECT_TIMEOUT_S):
         reader, writer = await asyncio.open_connection(
@@ -92,13 +98,14 @@
     try:
         _enable_keepalive(writer)
         writer.write(_encode_request(address, method, path, body))
-        return await _read_response(reader)
+        return await _read_response(reader, collector)
     finally:
         writer.close()
 
 
-async def _read_response(reader: asyncio.StreamReader) -> Response:
-    collector = _ResponseCollector()
+async def _read_response(
+    reader: asyncio.StreamReader, collector: _ResponseCollector
+) -> Response:
     parser = httptools.HttpResponseParser(collector)
     while not collector.complete:
         data = await reader.read(_READ_BYTES)
--- a/packages/savoryhaven/tests/test_gossip.py
+++ b/packages/savoryhaven/tests/test_gossip.py
@@ -297,6 +297,28 @@
     assert count_requests(network) == 1
 
 
+def test_requests_are_logged_with_what_is_missing() -> None:
+    network = make_large_fleet()
+    first, late = network.vms['10.0.0.1'], network.vms['10.0.0.3']
+    parts = take_parts(first, '10.0.0.3')
+    late.gossip.receive(parts[0], '10.0.0.1', late.clock.now)
+    late.clock.now += 1.0
+    first.gossip.send_heartbeats(('10.0.0.3',), late.clock.now)
+    (heartbeat,) = network.take_datagrams()
+    late.gossip.receive(heartbeat, '10.0.0.1', late.clock.now)
+    requested = [
+        event.fields
+        for event in late.events._queue
+        if event.name == 'snapshot_requested'
+    ]
+    assert requested[-1]['incomplete'] == {
+        '10.0.0.1': f'700: 1 of {len(parts)}'
+    }
+    assert late.counters[counters.Count.SNAPSHOTS_INCOMPLETE] == 1
+    assert late.counters[counters.Count.SNAPSHOT_PARTS_RECEIVED] == 1
+    assert first.counters[counters.Count.SNAPSHOT_PARTS_SENT] >= len(parts)
+
+
 def test_a_snapshot_for_several_peers_is_encoded_once() -> None:
     network = make_large_fleet()
     vm = network.vms['10.0.0.1']
--- a/packages/savoryhaven/tests/test_http.py
+++ b/packages/savoryhaven/tests/test_http.py
@@ -88,6 +88,20 @@
     asyncio.run(check())
 
 
+def test_an_error_says_how_much_of_the_body_arrived() -> None:
+    async def check() -> None:
+        server = Server(make_response(b'x' * 2_000)[:-500])
+        async with server as address:
+            try:
+                await get(address)
+            except errors.PlatformError as exc:
+                assert '1500 bytes of the body received' in str(exc)
+            else:
+                raise AssertionError('an incomplete body was accepted')
+
+    asyncio.run(check())
+
+
 def test_malformed_responses_are_errors() -> None:
     async def check() -> None:
         server = Server(b'nothing like it\r\n\r\n', b'HTTP/1.1 200 X')
--- a/packages/savoryhaven/tests/test_reader.py
+++ b/packages/savoryhaven/tests/test_reader.py
@@ -70,6 +70,17 @@
     assert vm.counters[counters.Count.STORE_FAILED] == 2
 
 
+def test_each_failed_call_is_logged_with_its_duration() -> None:
+    vm = make_vm()
+    vm.store.down = True
+    read(vm, 'configuration', 'configuration', 'upstreams')
+    failed = [event.fields for event in vm.events._queue]
+    assert list_events(vm) == ['store_lost', *['store_call_failed'] * 2]
+    assert [fields['failures'] for fields in failed] == [1, 2, 3]
+    assert all('no answer' in fields['why'] for fields in failed)
+    assert all(fields['for_s'] >= 0 for fields in failed)
+
+
 def list_events(vm: tagged.Vm) -> list[str]:
     """Return the names of the events that a VM has emitted."""
     return [event.name for event in vm.events._queue]
