--- a/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
@@ -1,6 +1,7 @@
 """Fakes for tests of VMs that balance by tags, without sockets."""
 
 import asyncio
+import heapq
 import json
 import random
 import typing
@@ -249,18 +250,82 @@
         return sent
 
 
+@attrs.frozen
+class LinkRate:
+    """The rate of each VM's link, and what it queues in each direction."""
+
+    bytes_per_s: float
+    queue_bytes: float
+
+
+@attrs.define(eq=False)
+class Links:
+    """Delays datagrams by the links of VMs, and drops what exceeds a queue."""
+
+    rate: LinkRate
+    dropped: int = 0
+    _free_at: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    # By the time of arrival; the number keeps the order of sending.
+    _arrivals: list[tuple[float, int, bytes, str, str]] = attrs.field(
+        factory=list
+    )
+    _number: int = 0
+
+    def send(
+        self, data: bytes, sender: str, receiver: str, now: float
+    ) -> None:
+        """Send a datagram through both links."""
+        at: float | None = now
+        for link in (('from', sender), ('to', receiver)):
+            at = self._pass_link(link, len(data), at)
+            if at is None:
+                self.dropped += 1
+                return
+        self._number += 1
+        heapq.heappush(
+            self._arrivals, (at, self._number, data, sender, receiver)
+        )
+
+    def _pass_link(
+        self, link: tuple[str, str], size: int, now: float
+    ) -> float | None:
+        """Return when a datagram has passed a link, None if it is dropped."""
+        free_at = max(now, self._free_at.get(link, now))
+        if (free_at - now) * self.rate.bytes_per_s > self.rate.queue_bytes:
+            return None
+        self._free_at[link] = free_at + size / self.rate.bytes_per_s
+        return self._free_at[link]
+
+    def take_arrival(
+        self, latest: float
+    ) -> tuple[float, bytes, str, str] | None:
+        """Return the next datagram that arrives until ``latest``."""
+        if not self._arrivals or self._arrivals[0][0] > latest:
+            return None
+        at, _, data, sender, receiver = heapq.heappop(self._arrivals)
+        return at, data, sender, receiver
+
+
 @attrs.define(eq=False)
 class Network:
-    """Delivers datagrams without delay, except for VMs in ``cut``."""
+    """Delivers datagrams, except for VMs in ``cut``; without delay by default.
+
+    If ``links`` is set, datagrams arrive while time passes.
+    """
 
     vms: dict[str, Vm] = attrs.field(factory=dict)
     cut: set[str] = attrs.field(factory=set)
     clock: ManualClock | None = None
     sent_bytes: int = 0
+    links: Links | None = None
     _queue: list[tuple[bytes, str, str]] = attrs.field(factory=list)
 
     def enqueue(self, data: bytes, sender: str, receiver: str) -> None:
         """Queue a datagram for delivery."""
+        if self.links is not None:
+            self.sent_bytes += len(data)
+            self.links.send(data, sender, receiver, self.clock.now)
+            return
         self._queue.append((data, sender, receiver))
 
     def take_datagrams(self) -> list[bytes]:
@@ -273,16 +338,29 @@
         while self._queue:
             data, sender, receiver = self._queue.pop(0)
             self.sent_bytes += len(data)
-            if self.cut & {sender, receiver} or receiver not in self.vms:
-                continue
-            vm = self.vms[receiver]
-            vm.gossip.receive(data, sender, self.clock.now)
+            self._hand_over(data, sender, receiver)
+
+    def _hand_over(self, data: bytes, sender: str, receiver: str) -> None:
+        if self.cut & {sender, receiver} or receiver not in self.vms:
+            return
+        vm = self.vms[receiver]
+        vm.gossip.receive(data, sender, self.clock.now)
+
+    def _deliver_until(self, latest: float) -> None:
+        """Hand over what arrives until a time, and set the clock to it."""
+        while arrival := self.links.take_arrival(latest):
+            self.clock.now, data, sender, receiver = arrival
+            self._hand_over(data, sender, receiver)
+        self.clock.now = latest
 
     def pass_time(self, seconds: float, *, seeds: tuple[str, ...]) -> None:
         """Advance the clock while all VMs send heartbeats."""
         rounds = round(seconds / members_module.HEARTBEAT_INTERVAL_S)
         for _ in range(rounds):
-            self.clock.now += members_module.HEARTBEAT_INTERVAL_S
+            ends_at = self.clock.now + members_module.HEARTBEAT_INTERVAL_S
+            if self.links is not None:
+                self._deliver_until(ends_at)
+            self.clock.now = ends_at
             for vm in self.vms.values():
                 others = [seed for seed in seeds if seed != vm.host]
                 vm.gossip.send_heartbeats(others, self.clock.now)
--- a/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/proxy.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/proxy.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import enum
+import math
 
 DELAY_S = 0.3
+READ_BYTES = 16_384
 
 
 class Link(enum.Enum):
@@ -18,10 +20,15 @@
 
 
 class Proxy:
-    """Forwards connections to one address."""
+    """Forwards connections to one address.
+
+    Answers pass at ``bytes_per_s`` together.
+    """
 
     def __init__(self, target: tuple[str, int]) -> None:
         self.link = Link.GOOD
+        self.bytes_per_s = math.inf
+        self._answers = asyncio.Lock()
         self._target = target
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -69,7 +76,7 @@
     ) -> None:
         while True:
             try:
-                data = await reader.read(65_536)
+                data = await reader.read(READ_BYTES)
             except OSError:
                 data = b''
             match self.link:
@@ -85,6 +92,9 @@
                     continue
                 case Link.DELAYED:
                     await asyncio.sleep(DELAY_S)
+            if answers and self.bytes_per_s < math.inf:
+                async with self._answers:
+                    await asyncio.sleep(len(data) / self.bytes_per_s)
             if writer.is_closing():
                 return
             writer.write(data)
--- a/packages/savoryhaven-standins/tests/test_users_site.py
+++ b/packages/savoryhaven-standins/tests/test_users_site.py
@@ -398,3 +398,25 @@
     kinds = {route['name']: route['kind'] for route in dump['routes']}
     assert kinds['r-9001'] == 'upload'
     assert kinds['r-9002'] == 'unknown'
+
+
+# Guards against configurations that are never in force as a VM's link needs
+# longer for them than a call to the store may take (incident inc1).
+@run_site(vms=2, seed=23)
+async def test_a_large_configuration_arrives_over_slow_links(
+    site: Site,
+) -> None:
+    for proxy in site.proxies.values():
+        proxy.bytes_per_s = 300_000
+    added = (DESK[0], 20_000)
+    await site.configure(
+        7,
+        more=[
+            site_module.make_route(port, 'desk', 'safe')
+            for port in range(added[1], added[1] + 4_000)
+        ],
+    )
+    # Time in which a configuration has to be in force.
+    await asyncio.sleep(5.0)
+    for number in range(4):
+        assert await request_once(site, f's-{number}', added) is SERVED
--- a/packages/savoryhaven/tests/test_gossip.py
+++ b/packages/savoryhaven/tests/test_gossip.py
@@ -1,5 +1,7 @@
 """Gossip: one VM that can reach the store keeps all others up to date."""
 
+import json
+import random
 import typing
 
 import attrs
@@ -151,6 +153,30 @@
     assert all(result is None for result in results[:-1])
 
 
+def make_large_configuration(
+    version: int, size: int
+) -> records.RoutingConfiguration:
+    """Return a configuration whose document can't be compressed below it."""
+    padding = random.Random(version).randbytes(size).hex()
+    document = json.dumps({'version': version, 'padding': padding}).encode()
+    return attrs.evolve(tagged.make_configuration(version), document=document)
+
+
+# Guards against configurations that never reach VMs whose links queue less
+# than a snapshot's burst (incident inc1).
+def test_a_snapshot_larger_than_a_link_queues_reaches_all_vms() -> None:
+    network = start_fleet(12)
+    network.pass_time(3.0, seeds=SEEDS)
+    network.links = tagged.Links(tagged.LinkRate(625_000, 32_768))
+    first = network.vms['10.0.0.1']
+    first.routes.adopt(make_large_configuration(9, 90_000))
+    first.gossip.announce_state(network.clock.now)
+    # Time in which a configuration has to be in force.
+    network.pass_time(5.0, seeds=SEEDS)
+    late = [vm.host for vm in network.vms.values() if vm.routes.version != 9]
+    assert not late
+
+
 def test_a_newer_snapshot_replaces_an_incomplete_older_one() -> None:
     data = [bytes(hash((n, 7)) % 256 for n in range(5_000))]
     older = make_parts(3, data)
