--- a/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
@@ -260,9 +260,13 @@
 
 @attrs.define(eq=False)
 class Links:
-    """Delays datagrams by the links of VMs, and drops what exceeds a queue."""
+    """Delays datagrams by the links of VMs, and drops what exceeds a queue.
+
+    Each ``drop_every``-th datagram is lost as well, if that is set.
+    """
 
     rate: LinkRate
+    drop_every: int = 0
     dropped: int = 0
     _free_at: dict[tuple[str, str], float] = attrs.field(factory=dict)
     # By the time of arrival; the number keeps the order of sending.
@@ -275,13 +279,16 @@
         self, data: bytes, sender: str, receiver: str, now: float
     ) -> None:
         """Send a datagram through both links."""
+        self._number += 1
+        if self.drop_every and not self._number % self.drop_every:
+            self.dropped += 1
+            return
         at: float | None = now
         for link in (('from', sender), ('to', receiver)):
             at = self._pass_link(link, len(data), at)
             if at is None:
                 self.dropped += 1
                 return
-        self._number += 1
         heapq.heappush(
             self._arrivals, (at, self._number, data, sender, receiver)
         )
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
@@ -70,7 +70,9 @@
         self._events: typing.Final = events
         self._random: typing.Final = source
         self._requested: dict[str, float] = {}
-        self._assembler: typing.Final = snapshots.SnapshotAssembler()
+        self._assembler: typing.Final = snapshots.SnapshotAssembler(
+            members.vm_id
+        )
         self._snapshot_cache: typing.Final = snapshots.SnapshotCache()
         self._loads: typing.Final = loads_module.PeerLoads(catalogue)
         self._logged_fields: set[tuple[str, str]] = set()
@@ -142,7 +144,9 @@
         live = self.members.list_live(now)
         if live:
             host = self._random.choice(live).address.host
-            self._request(messages.CATALOGUE, host, now)
+            self._request(
+                messages.CATALOGUE, self._catalogue.revision, host, now
+            )
 
     def expire_members(self, now: float) -> None:
         """Remove VMs that are gone, and loads of VMs that are not live."""
@@ -194,9 +198,10 @@
     def _compare_configuration(
         self, heartbeat: messages.Heartbeat, host: str, now: float
     ) -> None:
-        if heartbeat.configuration_version > self._routes.version:
-            self._request(messages.CONFIGURATION, host, now)
-        elif heartbeat.configuration_version == self._routes.version:
+        version = heartbeat.configuration_version
+        if version > self._routes.version:
+            self._request(messages.CONFIGURATION, version, host, now)
+        elif version == self._routes.version:
             if heartbeat.configuration_age_ms >= 0:
                 age_s = heartbeat.configuration_age_ms / 1000
                 self._routes.confirm(now - age_s)
@@ -205,19 +210,23 @@
         self, heartbeat: messages.Heartbeat, host: str, now: float
     ) -> None:
         catalogue = self._catalogue
-        if heartbeat.catalogue_revision < catalogue.revision:
+        revision = heartbeat.catalogue_revision
+        if revision < catalogue.revision:
             return
         same = heartbeat.catalogue_digest == catalogue.digest
         if not same or not catalogue.revision:
-            if heartbeat.catalogue_revision > catalogue.revision:
-                self._request(messages.CATALOGUE, host, now)
+            if revision > catalogue.revision:
+                self._request(messages.CATALOGUE, revision, host, now)
             return
-        catalogue.revision = heartbeat.catalogue_revision
+        catalogue.revision = revision
         if heartbeat.catalogue_age_ms >= 0:
             age_s = heartbeat.catalogue_age_ms / 1000
             catalogue.confirm(now - age_s, now)
 
-    def _request(self, subject: str, host: str, now: float) -> None:
+    def _request(
+        self, subject: str, version: int, host: str, now: float
+    ) -> None:
+        """Request a peer's snapshot, or what is missing of its version."""
         if now - self._requested.get(subject, -math.inf) < REQUEST_INTERVAL_S:
             return
         if self._assembler.is_arriving(subject, now):
@@ -236,25 +245,26 @@
         )
         self._requested[subject] = now
         self._send_message(
-            messages.SnapshotRequest(self.members.vm_id, subject), host
+            self._assembler.make_request(subject, version, host), host
         )
 
     def _send_snapshot(
         self, request: messages.SnapshotRequest, host: str, now: float
     ) -> None:
-        for part in self._list_parts(request.subject, now):
+        for part in self._list_parts(request, now):
             self._counters[_Count.SNAPSHOT_PARTS_SENT] += 1
             self._send_message(part, host)
 
     def _list_parts(
-        self, subject: str, now: float
+        self, request: messages.SnapshotRequest, now: float
     ) -> list[messages.SnapshotPart]:
-        """Return the parts of a snapshot; none if there is no state yet."""
+        """Return the requested parts; none if there is no state yet."""
+        subject = request.subject
         catalogue = self._catalogue
         current = self._routes.current
         if subject == messages.CONFIGURATION and current is not None:
             return self._snapshot_cache.list_parts(
-                subject,
+                request,
                 version=current.version,
                 age_ms=_age_ms(self._routes.confirmed_at, now),
                 state=current.version,
@@ -263,7 +273,7 @@
         if subject == messages.CATALOGUE and catalogue.revision:
             removed = catalogue.list_removed()
             return self._snapshot_cache.list_parts(
-                subject,
+                request,
                 version=catalogue.revision,
                 age_ms=_age_ms(catalogue.confirmed_at, now),
                 state=(
@@ -272,8 +282,8 @@
                     frozenset(upstream.wire_id for upstream in removed),
                 ),
                 build=lambda: [
-                    messages.encode_upstreams(catalogue.list_present()),
-                    messages.encode_upstreams(removed),
+                    _encode_sorted(catalogue.list_present()),
+                    _encode_sorted(removed),
                 ],
             )
         return []
@@ -284,6 +294,9 @@
         self._counters[_Count.SNAPSHOT_PARTS_RECEIVED] += 1
         snapshot = self._assembler.add(part, host, now)
         if snapshot is None:
+            request = self._assembler.continue_request(part, host)
+            if request is not None:
+                self._send_message(request, host)
             return
         match snapshot.subject:
             case messages.CONFIGURATION:
@@ -357,7 +370,7 @@
         )
         applied = self._catalogue.apply_changes(changes, now)
         if applied is None:
-            self._request(messages.CATALOGUE, host, now)
+            self._request(messages.CATALOGUE, notice.revision, host, now)
             return
         self.log_changes(applied, host, now)
         if applied:
@@ -453,6 +466,15 @@
             self._send(raw, host)
 
 
+def _encode_sorted(
+    upstreams: typing.Iterable[records.Upstream],
+) -> list[tuple]:
+    """Return upstreams as arrays, in the same order on all VMs."""
+    return messages.encode_upstreams(
+        sorted(upstreams, key=lambda upstream: upstream.upstream_id)
+    )
+
+
 def _age_ms(confirmed_at: float, now: float) -> int:
     if confirmed_at == -math.inf:
         return -1
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/messages.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/messages.py
@@ -76,10 +76,16 @@
 
 @attrs.frozen(repr=False)
 class SnapshotRequest:
-    """Requests a snapshot of a subject from a peer."""
+    """Requests parts of a snapshot of a subject from a peer.
+
+    ``digest`` names the snapshot, zero stands for the current one. ``wanted``
+    are the parts, all if there are none.
+    """
 
     vm_id: str
     subject: str
+    digest: int = 0
+    wanted: tuple[int, ...] = ()
 
 
 @attrs.frozen(repr=False)
@@ -87,6 +93,7 @@
     """A part of a snapshot.
 
     ``age_ms`` is the age of the sender's state, -1 if never confirmed.
+    ``digest`` is the same for all parts of a snapshot, zero if unknown.
     """
 
     subject: str
@@ -95,6 +102,7 @@
     index: int
     count: int
     data: bytes
+    digest: int = 0
 
 
 @attrs.frozen(repr=False)
@@ -173,7 +181,11 @@
     'heard': HeardMember,
     'present': records.Upstream,
 }
-_SCALAR_ITEM_TYPES: dict[str, type] = {'suspects': int, 'removed': str}
+_SCALAR_ITEM_TYPES: dict[str, type] = {
+    'suspects': int,
+    'removed': str,
+    'wanted': int,
+}
 _SCALAR_TYPES = (str, int, bool, bytes, float)
 
 
--- a/packages/savoryhaven/tests/test_gossip.py
+++ b/packages/savoryhaven/tests/test_gossip.py
@@ -133,10 +133,15 @@
     ]
 
 
+def request_all(subject: str) -> messages.SnapshotRequest:
+    """Return the request of an older build, which names no parts."""
+    return messages.SnapshotRequest('v', subject)
+
+
 def make_parts(version: int, body: typing.Any) -> list[messages.SnapshotPart]:
     """Return the parts of a snapshot of the configuration."""
     return snapshots.SnapshotCache().list_parts(
-        messages.CONFIGURATION,
+        request_all(messages.CONFIGURATION),
         version=version,
         age_ms=0,
         state=version,
@@ -177,10 +182,17 @@
     assert not late
 
 
-def test_a_newer_snapshot_replaces_an_incomplete_older_one() -> None:
+@params(True, False)
+def test_a_newer_snapshot_replaces_an_incomplete_older_one(
+    has_digest: bool,
+) -> None:
+    """Parts of older builds are told apart by their version alone."""
     data = [bytes(hash((n, 7)) % 256 for n in range(5_000))]
-    older = make_parts(3, data)
+    older = make_parts(3, ['older', *data])
     newer = make_parts(4, data)
+    if not has_digest:
+        older = [attrs.evolve(part, digest=0) for part in older]
+        newer = [attrs.evolve(part, digest=0) for part in newer]
     assembler = snapshots.SnapshotAssembler()
     assert assembler.add(older[0], 'h', 0.0) is None
     for part in newer[:-1]:
@@ -262,9 +274,13 @@
         assert not selection.has_failed(vm.catalogue.by_tag[2], now)
 
 
-def take_parts(vm: tagged.Vm, receiver: str) -> list[bytes]:
-    """Return the datagrams of a VM's answer to a request for upstreams."""
-    request = messages.SnapshotRequest('v', messages.CATALOGUE)
+def take_parts(
+    vm: tagged.Vm,
+    receiver: str,
+    request: messages.SnapshotRequest | None = None,
+) -> list[bytes]:
+    """Return the datagrams of a VM's answer; by default to one for all."""
+    request = request or request_all(messages.CATALOGUE)
     raw = messages.encode_message(request)
     vm.gossip.receive(raw, receiver, vm.clock.now)
     return vm.network.take_datagrams()
@@ -297,21 +313,32 @@
 
 def count_requests(network: tagged.Network) -> int:
     """Return how many requests for upstreams are queued."""
+    return len(take_requests(network))
+
+
+def take_requests(network: tagged.Network) -> list[messages.SnapshotRequest]:
+    """Remove all queued messages; return the requests for upstreams."""
     found = [messages.decode_message(raw) for raw in network.take_datagrams()]
-    return found.count(
-        messages.SnapshotRequest('10.0.0.3', messages.CATALOGUE)
-    )
+    return [
+        message
+        for message in found
+        if isinstance(message, messages.SnapshotRequest)
+        and (message.vm_id, message.subject)
+        == ('10.0.0.3', messages.CATALOGUE)
+    ]
 
 
 def test_a_snapshot_that_is_arriving_is_not_requested_again() -> None:
     network = make_large_fleet()
     late = network.vms['10.0.0.3']
-    parts = take_parts(network.vms['10.0.0.1'], '10.0.0.3')
     first = network.vms['10.0.0.1']
     first.gossip.send_heartbeats(('10.0.0.3',), late.clock.now)
     (heartbeat,) = network.take_datagrams()
     late.gossip.receive(heartbeat, '10.0.0.1', late.clock.now)
-    assert count_requests(network) == 1
+    (request,) = take_requests(network)
+    parts = take_parts(first, '10.0.0.3', request)
+    count = len(take_parts(first, '10.0.0.3'))
+    assert len(parts) == min(count, snapshots.FIRST_WINDOW)
     for part in parts[:-1]:
         late.clock.now += 0.11
         late.gossip.receive(part, '10.0.0.1', late.clock.now)
@@ -320,7 +347,75 @@
     # The last part was lost.
     late.clock.now += 1.0
     late.gossip.receive(heartbeat, '10.0.0.1', late.clock.now)
-    assert count_requests(network) == 1
+    (request,) = take_requests(network)
+    assert request.digest
+    assert request.wanted == (len(parts) - 1,)
+
+
+def test_lost_parts_are_requested_from_another_peer() -> None:
+    network = make_large_fleet()
+    late = network.vms['10.0.0.3']
+    parts = take_parts(network.vms['10.0.0.1'], '10.0.0.3')
+    for part in parts[::2]:
+        late.gossip.receive(part, '10.0.0.1', late.clock.now)
+    network.take_datagrams()
+    late.clock.now += 1.0
+    second = network.vms['10.0.0.2']
+    second.gossip.send_heartbeats(('10.0.0.3',), late.clock.now)
+    network.deliver()
+    assert len(late.catalogue.list_present()) == 600
+    sent = second.counters[counters.Count.SNAPSHOT_PARTS_SENT]
+    # The configuration is one part.
+    assert sent == len(parts) // 2 + 1
+
+
+def test_a_snapshot_that_was_replaced_is_sent_to_its_end() -> None:
+    """Changes in quick succession don't make a slow transfer start anew."""
+    network = make_large_fleet()
+    first, late = network.vms['10.0.0.1'], network.vms['10.0.0.3']
+    parts = take_parts(first, '10.0.0.3')
+    late.gossip.receive(parts[0], '10.0.0.1', late.clock.now)
+    digest = messages.decode_message(parts[0]).digest
+    first.learn([tagged.make_upstream(1)], revision=800)
+    take_parts(first, '10.0.0.3')
+    request = messages.SnapshotRequest(
+        '10.0.0.3', messages.CATALOGUE, digest, tuple(range(1, len(parts)))
+    )
+    for part in take_parts(first, '10.0.0.3', request):
+        late.gossip.receive(part, '10.0.0.1', late.clock.now)
+    assert len(late.catalogue.list_present()) == 600
+    assert late.catalogue.revision == 700
+    # Nobody says that it is still the newest.
+    assert late.catalogue.confirmed_at < late.clock.now
+
+
+def test_snapshots_arrive_though_links_lose_five_of_a_hundred() -> None:
+    network = start_fleet(12)
+    network.pass_time(3.0, seeds=SEEDS)
+    network.links = tagged.Links(
+        tagged.LinkRate(625_000, 32_768), drop_every=20
+    )
+    first = network.vms['10.0.0.1']
+    first.routes.adopt(make_large_configuration(9, 90_000))
+    first.gossip.announce_state(network.clock.now)
+    network.pass_time(5.0, seeds=SEEDS)
+    late = [vm.host for vm in network.vms.values() if vm.routes.version != 9]
+    assert not late
+
+
+def test_peers_of_an_older_build_exchange_whole_snapshots() -> None:
+    """They name no parts in requests, and send none with a digest."""
+    network = make_large_fleet()
+    first, late = network.vms['10.0.0.1'], network.vms['10.0.0.3']
+    raw = cbor2.dumps(list_fields(request_all(messages.CATALOGUE))[:3])
+    first.gossip.receive(raw, '10.0.0.3', late.clock.now)
+    parts = [cbor2.loads(part) for part in network.take_datagrams()]
+    assert len(parts) == parts[0][5]
+    for part in parts:
+        raw = cbor2.dumps(part[:7])
+        late.gossip.receive(raw, '10.0.0.1', late.clock.now)
+    assert len(late.catalogue.list_present()) == 600
+    assert not network.take_datagrams()
 
 
 def test_requests_are_logged_with_what_is_missing() -> None:
@@ -337,8 +432,9 @@
         for event in late.events._queue
         if event.name == 'snapshot_requested'
     ]
+    digest = messages.decode_message(parts[0]).digest
     assert requested[-1]['incomplete'] == {
-        '10.0.0.1': f'700: 1 of {len(parts)}'
+        f'{digest:08x}': f'700: 1 of {len(parts)}'
     }
     assert late.counters[counters.Count.SNAPSHOTS_INCOMPLETE] == 1
     assert late.counters[counters.Count.SNAPSHOT_PARTS_RECEIVED] == 1
@@ -466,7 +562,11 @@
 def test_no_snapshot_of_a_peer_raises(subject: str, body: typing.Any) -> None:
     vm = start_fleet(1).vms['10.0.0.1']
     parts = snapshots.SnapshotCache().list_parts(
-        subject, version=500, age_ms=0, state=1, build=lambda: body
+        request_all(subject),
+        version=500,
+        age_ms=0,
+        state=1,
+        build=lambda: body,
     )
     for part in parts:
         raw = messages.encode_message(part)
