Let VMs with fast links read the store for the others

Ranks go by the class of a VM's link, a factor of two each, and by the hash among equals. Fleets of equal links have the order that they had. Older builds ignore the number, and their reports are understood.

Tests failed before: no VM knew of links.

--- a/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
@@ -188,11 +188,13 @@
     def _record_requested_tag(self, tag: int, now: float) -> None:
         self.requested_tags.append(tag)
 
-    def join(self, network: 'Network', host: str) -> None:
+    def join(
+        self, network: 'Network', host: str, *, link_mbps: float = 0.0
+    ) -> None:
         """Attach the VM to a network, with gossip and a store."""
         self.host = host
         self.network = network
-        self.members = members_module.Members(host, host)
+        self.members = members_module.Members(host, host, link_mbps=link_mbps)
         self.gossip = gossip_module.Gossip(
             members=self.members,
             routes=self.routes,
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
@@ -446,6 +446,7 @@
             members=tuple(addresses[: members_module.MAX_ANSWER_MEMBERS]),
             answer=answer,
             heard=self.members.list_heard(now),
+            link_mbps=int(self.members.link_mbps),
         )
 
     def _choose_hosts(self, now: float) -> list[str]:
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/members.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/members.py
@@ -28,6 +28,11 @@
 RANK_TIMEOUT_S = 2.0
 # VMs of the lowest ranks that each heartbeat reports, at nine bytes each.
 MAX_HEARD_MEMBERS = 5
+# Ranks go by the class of a VM's link first: a class is a factor of two, the
+# fastest is 1, and ``LINK_CLASSES`` stands for an unknown rate.
+LINK_CLASSES = 32
+_HASH_BITS = 32
+_HASH_MASK = (1 << _HASH_BITS) - 1
 
 
 @attrs.define(eq=False, repr=False)
@@ -35,7 +40,8 @@
     """A VM, and its last heartbeat.
 
     ``heard_at`` is the latest time at which it is known to have sent one,
-    to this VM or to any other. ``order`` sorts VMs by rank.
+    to this VM or to any other. ``order`` sorts VMs by rank, those with fast
+    links first.
     """
 
     address: messages.MemberAddress
@@ -49,10 +55,13 @@
 class Members:
     """All other VMs that this one knows."""
 
-    def __init__(self, vm_id: str, host: str) -> None:
+    def __init__(
+        self, vm_id: str, host: str, *, link_mbps: float = 0.0
+    ) -> None:
         self.vm_id: typing.Final = vm_id
+        self.link_mbps: typing.Final = link_mbps
         self._host: typing.Final = host
-        self._order: typing.Final = _compute_order(vm_id)
+        self._order: typing.Final = _compute_order(vm_id, link_mbps)
         self._members: dict[str, Member] = {}
         # All members by rank, and by the hash that reports name them by.
         self._sorted: list[Member] = []
@@ -70,7 +79,7 @@
             order = _compute_order(address.vm_id)
             member = Member(address, order, learned_at=now)
             self._members[address.vm_id] = member
-            self._by_hash[order[0]] = member
+            self._by_hash[order[0] & _HASH_MASK] = member
             bisect.insort(self._sorted, member, key=_get_order)
         elif address.incarnation > known.address.incarnation:
             known.address = address
@@ -86,6 +95,10 @@
         member = self._members.get(heartbeat.vm_id)
         if member is None:
             return False
+        if heartbeat.link_mbps > 0:
+            self._sort_in(
+                member, _compute_order(heartbeat.vm_id, heartbeat.link_mbps)
+            )
         was_live = self._is_live(member, now)
         member.heartbeat = heartbeat
         member.last_heartbeat_at = now
@@ -97,11 +110,23 @@
     ) -> None:
         """Record when other VMs sent heartbeats to the reporter."""
         for report in reports:
-            member = self._by_hash.get(report.vm_hash)
+            member = self._by_hash.get(report.vm_hash & _HASH_MASK)
             if member is not None:
+                # Reports of older builds have no class.
+                if report.vm_hash > _HASH_MASK:
+                    order = (report.vm_hash, member.address.vm_id)
+                    self._sort_in(member, order)
                 heard_at = now - max(0, report.age_ms) / 1000
                 member.heard_at = max(member.heard_at, heard_at)
 
+    def _sort_in(self, member: Member, order: tuple[int, str]) -> None:
+        """Move a VM to its place if the class of its link was unknown."""
+        if member.order == order:
+            return
+        self._sorted.remove(member)
+        member.order = order
+        bisect.insort(self._sorted, member, key=_get_order)
+
     def list_heard(self, now: float) -> tuple[messages.HeardMember, ...]:
         """Return the VMs with the lowest ranks, and when they were heard."""
         reports = []
@@ -159,14 +184,16 @@
         for vm_id in gone:
             member = self._members.pop(vm_id)
             self._sorted.remove(member)
-            if self._by_hash.get(member.order[0]) is member:
-                del self._by_hash[member.order[0]]
+            vm_hash = member.order[0] & _HASH_MASK
+            if self._by_hash.get(vm_hash) is member:
+                del self._by_hash[vm_hash]
         return gone
 
     def compute_rank(self, now: float) -> int:
         """Return this VM's rank among those heard lately, from zero.
 
-        The order is by a hash of the ids, the same on all VMs. In a large
+        The order is by the class of links, then by a hash of the ids, the
+        same on all VMs. In a large
         fleet a VM hears the lowest ranks from all others, but only a part of
         the others, so its own rank may come out lower than it is.
         """
@@ -188,8 +215,11 @@
         )
 
 
-def _compute_order(vm_id: str) -> tuple[int, str]:
-    return zlib.crc32(vm_id.encode()), vm_id
+def _compute_order(vm_id: str, link_mbps: float = 0.0) -> tuple[int, str]:
+    """Return what sorts VMs by rank: the link's class and a hash, the id."""
+    rate = min(max(0, int(link_mbps)), (1 << LINK_CLASSES - 1) - 1)
+    link_class = LINK_CLASSES - rate.bit_length()
+    return link_class << _HASH_BITS | zlib.crc32(vm_id.encode()), vm_id
 
 
 def _get_order(member: Member) -> tuple[int, str]:
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/messages.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/messages.py
@@ -42,7 +42,8 @@
 class HeardMember:
     """How long ago a VM sent a heartbeat, as far as the reporter knows.
 
-    ``vm_hash`` is the hash that orders VMs by rank.
+    ``vm_hash`` is the number that orders VMs by rank: the class of its link
+    above the 32 bits of the hash of its id.
     """
 
     vm_hash: int
@@ -56,6 +57,7 @@
     If ``loads`` is None, the loads of the last report remain valid.
     ``suspects`` are the tags of upstreams at which its openings failed.
     ``heard`` are the live VMs of the lowest ranks that the sender knows.
+    ``link_mbps`` is zero if unknown.
     """
 
     vm_id: str
@@ -72,6 +74,7 @@
     members: tuple[MemberAddress, ...] = ()
     answer: bool = False
     heard: tuple[HeardMember, ...] = ()
+    link_mbps: int = 0
 
 
 @attrs.frozen(repr=False)
--- a/packages/savoryhaven/src/_savoryhaven/operation/node.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/node.py
@@ -92,7 +92,7 @@
         address = addresses.parse_address(settings.data_address)
         self._address: typing.Final = address
         self.members: typing.Final = members_module.Members(
-            settings.vm_id, address.host
+            settings.vm_id, address.host, link_mbps=settings.link_mbps
         )
         self.forwarder: typing.Final = forwarder_module.Forwarder(
             codec=platform.codec,
--- a/packages/savoryhaven/src/_savoryhaven/operation/settings.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/settings.py
@@ -18,6 +18,8 @@
 from _savoryhaven import errors
 
 PORT_RANGE = (1, addresses.PORT_MAX)
+# Far beyond any link; larger numbers are in the wrong unit.
+LINK_MAX_MBPS = 10_000_000.0
 
 
 def _check_address(
@@ -115,7 +117,11 @@
 
 @attrs.frozen(kw_only=True, repr=False)
 class Settings:
-    """All settings of a VM."""
+    """All settings of a VM.
+
+    ``link_mbps`` is the rate of its link in Mbit/s, zero if unknown: VMs with
+    fast links read the store for the others.
+    """
 
     vm_id: str = attrs.field(validator=_check_name)
     failure_domain: str = attrs.field(validator=_check_name)
@@ -128,6 +134,9 @@
     peers: PeerSettings
     store: StoreSettings
     stop: StopSettings = attrs.field(factory=StopSettings)
+    link_mbps: float = attrs.field(
+        default=0.0, validator=_check_number(0.0, LINK_MAX_MBPS)
+    )
     plugins: tuple[str, ...] = ()
 
 
--- a/packages/savoryhaven/tests/test_ranks.py
+++ b/packages/savoryhaven/tests/test_ranks.py
@@ -15,12 +15,16 @@
 BACK_WITHIN_S = 1.0
 
 
-def make_network(count: int) -> tagged.Network:
-    """Return VMs that know each other and have exchanged heartbeats."""
+def make_network(count: int, *, fast: int = 0) -> tagged.Network:
+    """Return VMs that know each other and have exchanged heartbeats.
+
+    The last ``fast`` ones have links of 200 Mbit/s, the others of 10.
+    """
     network = tagged.Network()
     for number in range(count):
         host = f'10.{number // 65_025}.{number // 255 % 255}.{number % 255}'
-        tagged.Vm().join(network, host)
+        link_mbps = 200.0 if number >= count - fast else 10.0
+        tagged.Vm().join(network, host, link_mbps=link_mbps)
     addresses = [messages.MemberAddress(host, host, 1) for host in network.vms]
     for vm in network.vms.values():
         vm.learn([tagged.make_upstream(1)])
@@ -32,9 +36,7 @@
 
 def list_by_rank(network: tagged.Network) -> list[tagged.Vm]:
     """Return all VMs in the order that decides ranks."""
-    return sorted(
-        network.vms.values(), key=lambda vm: members._compute_order(vm.host)
-    )
+    return sorted(network.vms.values(), key=lambda vm: vm.members._order)
 
 
 def count_first(network: tagged.Network) -> int:
@@ -142,7 +144,48 @@
     now = network.clock.now
     vm = network.vms['10.0.0.1']
     other = list_by_rank(network)[0]
-    order = members._compute_order(other.host)
+    order = other.members._order
     vm.members.note_heard([messages.HeardMember(order[0], -9_000)], now)
     later = now + members.RANK_TIMEOUT_S + 0.1
     assert order[0] not in [r.vm_hash for r in vm.members.list_heard(later)]
+
+
+# Guards against readers whose link needs seconds for a large document, while
+# others would have it at once (incident inc1).
+@params(8, 91, 195)
+def test_vms_with_fast_links_have_the_lowest_ranks(count: int) -> None:
+    network = make_network(count, fast=3)
+    network.pass_time(2.0, seeds=SEEDS)
+    now = network.clock.now
+    fast = list(network.vms.values())[-3:]
+    assert sorted(vm.members.compute_rank(now) for vm in fast) == [0, 1, 2]
+    slow = list(network.vms.values())[:-3]
+    assert min(vm.members.compute_rank(now) for vm in slow) == 3
+    network.cut.update(vm.host for vm in fast)
+    network.pass_time(LOST_WITHIN_S, seeds=SEEDS)
+    assert count_first(network) == 1
+    network.cut.clear()
+    network.pass_time(BACK_WITHIN_S, seeds=SEEDS)
+    assert min(vm.members.compute_rank(network.clock.now) for vm in slow) == 3
+
+
+def test_vms_with_links_of_a_similar_rate_are_ordered_by_hash() -> None:
+    numbers = [
+        members._compute_order('v-1', link_mbps)[0]
+        for link_mbps in (0.0, 0.5, 9.0, 10.0, 15.9, 16.0, 1e9, 1e30)
+    ]
+    assert numbers == sorted(numbers, reverse=True)
+    assert numbers[2] == numbers[3] == numbers[4] > numbers[5]
+    assert numbers[-1] >> 32 == 1
+
+
+def test_reports_of_older_builds_have_no_class() -> None:
+    network = make_network(6, fast=1)
+    vm = network.vms['10.0.0.1']
+    other = list_by_rank(network)[0]
+    now = network.clock.now + 10.0
+    older = messages.HeardMember(other.members._order[0] & 0xFFFFFFFF, 0)
+    vm.members.note_heard([older], now)
+    assert [report.vm_hash for report in vm.members.list_heard(now)] == [
+        other.members._order[0]
+    ]
--- a/packages/savoryhaven/tests/test_tagged_settings.py
+++ b/packages/savoryhaven/tests/test_tagged_settings.py
@@ -40,6 +40,11 @@
     loaded = settings_module.parse_settings(source)
     assert loaded.peers.seeds == ('10.0.0.2:8166',)
     assert loaded.stop.grace_s == 6.0
+    assert loaded.link_mbps == 0.0
+    loaded = settings_module.parse_settings(
+        json.dumps(GOOD | {'link_mbps': 10})
+    )
+    assert loaded.link_mbps == 10
 
 
 def test_settings_without_comments_do_not_import_json5() -> None:
