Watch the configuration from the revision that peers have

A VM that gets its configuration from peers kept the store revision of its own last read; when it had to read itself, the store's history since then was gone (410), and it listed the document although it had the newest version.

Heartbeats carry the revision as of which the sender has the newest version; a VM with the same version watches from there. A revision at which a newer version can't be read is not passed on, as the receiver would never see it.

test_a_vm_watches_from_the_revision_that_peers_have failed before.

--- a/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
@@ -202,6 +202,9 @@
         if version > self._routes.version:
             self._request(messages.CONFIGURATION, version, host, now)
         elif version == self._routes.version:
+            self._routes.note_revision(
+                version, heartbeat.configuration_revision
+            )
             if heartbeat.configuration_age_ms >= 0:
                 age_s = heartbeat.configuration_age_ms / 1000
                 self._routes.confirm(now - age_s)
@@ -447,6 +450,9 @@
             answer=answer,
             heard=self.members.list_heard(now),
             link_mbps=int(self.members.link_mbps),
+            configuration_revision=(
+                0 if self._routes.newer_unreadable else self._routes.revision
+            ),
         )
 
     def _choose_hosts(self, now: float) -> list[str]:
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/messages.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/messages.py
@@ -57,7 +57,8 @@
     If ``loads`` is None, the loads of the last report remain valid.
     ``suspects`` are the tags of upstreams at which its openings failed.
     ``heard`` are the live VMs of the lowest ranks that the sender knows.
-    ``link_mbps`` is zero if unknown.
+    ``link_mbps`` is zero if unknown, as is ``configuration_revision``, the
+    store revision as of which the sender has the newest configuration.
     """
 
     vm_id: str
@@ -75,6 +76,7 @@
     answer: bool = False
     heard: tuple[HeardMember, ...] = ()
     link_mbps: int = 0
+    configuration_revision: int = 0
 
 
 @attrs.frozen(repr=False)
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/routes.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/routes.py
@@ -43,6 +43,15 @@
             return
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
 
+    def note_revision(self, version: int, revision: int) -> None:
+        """Record that a peer has the version in force as of a revision.
+
+        The next watch then starts there. From an older revision the store
+        would send the whole document again, or have no history any more.
+        """
+        if version == self.version and not self.newer_unreadable:
+            self.revision = max(self.revision, revision)
+
     def find(self, key: packets.FlowKey) -> records.Route | None:
         """Return the route of a flow's destination, or None."""
         if self.current is None:
--- a/packages/savoryhaven/tests/test_reader.py
+++ b/packages/savoryhaven/tests/test_reader.py
@@ -50,6 +50,38 @@
     assert vm.routes.version == 8
 
 
+# Guards against 70 VMs that list a large document at once, as the history
+# since their own last read is gone (incident inc1).
+def test_a_vm_watches_from_the_revision_that_peers_have() -> None:
+    network = tagged.make_network(8)
+    first = network.vms['10.0.0.1']
+    read(first, 'configuration', 'upstreams')
+    network.pass_time(2.0, seeds=('10.0.0.1',))
+    first.store.revision = 5_000
+    read(first, 'configuration')
+    network.pass_time(1.0, seeds=('10.0.0.1',))
+    for vm in network.vms.values():
+        assert vm.routes.revision == 5_000, vm.host
+    other = network.vms['10.0.0.2']
+    read(other, 'configuration')
+    assert other.store.calls[0] == 'watch_configuration'
+
+
+def test_a_revision_with_an_unreadable_newer_version_is_not_passed_on() -> (
+    None
+):
+    network = tagged.make_network(2)
+    first, second = network.vms.values()
+    read(first, 'configuration')
+    network.pass_time(1.0, seeds=('10.0.0.1',))
+    first.store.unreadable = True
+    first.store.revision = 140
+    read(first, 'configuration')
+    network.pass_time(1.0, seeds=('10.0.0.1',))
+    assert first.routes.revision == 140
+    assert second.routes.revision == 100
+
+
 def test_an_older_list_is_not_applied() -> None:
     vm = make_vm()
     read(vm, 'upstreams')
