--- a/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
@@ -391,7 +391,8 @@
     Raises ``PlatformError`` ``SH303`` for anything else.
     """
     try:
-        return make_configuration(json.loads(document)['version'])
+        configuration = make_configuration(json.loads(document)['version'])
+        return attrs.evolve(configuration, document=document)
     except (TypeError, ValueError, KeyError) as exc:
         raise errors.PlatformError(
             errors.Problem(code='SH303', message=repr(exc))
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
@@ -73,6 +73,9 @@
         self._assembler: typing.Final = snapshots.SnapshotAssembler(
             members.vm_id
         )
+        self._served_peers: typing.Final = snapshots.ServedPeers(
+            members.link_mbps
+        )
         self._snapshot_cache: typing.Final = snapshots.SnapshotCache()
         self._loads: typing.Final = loads_module.PeerLoads(catalogue)
         self._logged_fields: set[tuple[str, str]] = set()
@@ -254,6 +257,9 @@
     def _send_snapshot(
         self, request: messages.SnapshotRequest, host: str, now: float
     ) -> None:
+        if not self._served_peers.admit(host, now):
+            self._counters[_Count.SNAPSHOTS_DEFERRED] += 1
+            return
         for part in self._list_parts(request, now):
             self._counters[_Count.SNAPSHOT_PARTS_SENT] += 1
             self._send_message(part, host)
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/snapshots.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/snapshots.py
@@ -32,6 +32,11 @@
 FIRST_WINDOW = 8
 WINDOW_GROWTH = 4
 WINDOW_MAX = 16
+# Rate that a peer gets at least: with more peers at a time, none of them would
+# have the snapshot soon, and pass it on.
+PEER_MIN_MBPS = 2.5
+# Peers that are served at a time by a VM that does not know its link's rate.
+DEFAULT_PEERS = 4
 
 
 @attrs.frozen(eq=False, repr=False)
@@ -132,6 +137,34 @@
     ]
 
 
+class ServedPeers:
+    """The peers that get parts of snapshots at a time."""
+
+    def __init__(self, link_mbps: float) -> None:
+        self._limit: typing.Final = (
+            max(1, int(link_mbps / PEER_MIN_MBPS))
+            if link_mbps > 0
+            else DEFAULT_PEERS
+        )
+        # When each of them sent its last request, the latest one last.
+        self._requested_at: dict[str, float] = {}
+
+    def admit(self, host: str, now: float) -> bool:
+        """Return whether a peer's request is served now.
+
+        One that is not asks another VM, or this one again.
+        """
+        for other, requested_at in list(self._requested_at.items()):
+            if now - requested_at <= MAX_PART_GAP_S:
+                break
+            del self._requested_at[other]
+        if self._requested_at.pop(host, None) is None:
+            if len(self._requested_at) >= self._limit:
+                return False
+        self._requested_at[host] = now
+        return True
+
+
 @attrs.define(eq=False, repr=False)
 class _Assembly:
     """The parts of a snapshot that have arrived."""
@@ -242,9 +275,12 @@
     def _note_lost(self, subject: str) -> None:
         """Request fewer parts at a time, if some of the last were lost."""
         pending = self._pending.pop(subject, None)
-        if pending is not None and pending.missing:
-            arrived = pending.size - len(pending.missing)
-            self._window = max(1, min(self._window, arrived))
+        if pending is None or not pending.missing:
+            return
+        arrived = pending.size - len(pending.missing)
+        # A peer that does not answer says nothing about the link.
+        if arrived:
+            self._window = min(self._window, arrived)
 
     def _make_request(
         self, subject: str, digest: int, missing: list[int], host: str
--- a/packages/savoryhaven/src/_savoryhaven/operation/counters.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/counters.py
@@ -34,6 +34,7 @@
     FIELDS_UNREADABLE = 'fields of configurations that cannot be read'
     PEER_BYTES = 'bytes sent to peers'
     SNAPSHOTS_REQUESTED = 'requests for snapshots sent to peers'
+    SNAPSHOTS_DEFERRED = 'requests of peers not answered: others are served'
     SNAPSHOT_PARTS_SENT = 'parts of snapshots sent to peers'
     SNAPSHOT_PARTS_RECEIVED = 'parts of snapshots received from peers'
     SNAPSHOTS_INCOMPLETE = 'snapshots requested again as parts were missing'
--- a/packages/savoryhaven/tests/test_gossip.py
+++ b/packages/savoryhaven/tests/test_gossip.py
@@ -3,6 +3,7 @@
 import json
 import random
 import typing
+import zlib
 
 import attrs
 import cbor2
@@ -352,6 +353,43 @@
     assert request.wanted == (len(parts) - 1,)
 
 
+# Guards against a sender that serves so many peers at a time that none of
+# them has the configuration soon, and passes it on (incident inc1).
+def test_a_large_snapshot_reaches_sixty_slow_vms_within_three_seconds() -> (
+    None
+):
+    network = tagged.Network()
+    for number in range(1, 61):
+        tagged.Vm().join(network, f'10.0.0.{number}', link_mbps=5.0)
+    for vm in network.vms.values():
+        vm.learn([tagged.make_upstream(1)])
+    network.pass_time(6.0, seeds=SEEDS)
+    network.links = tagged.Links(tagged.LinkRate(625_000, 32_768))
+    network.sent_bytes = 0
+    configuration = make_large_configuration(9, 90_000)
+    first = network.vms['10.0.0.1']
+    first.routes.adopt(configuration)
+    first.gossip.announce_state(network.clock.now)
+    network.pass_time(3.0, seeds=SEEDS)
+    late = [vm.host for vm in network.vms.values() if vm.routes.version != 9]
+    assert not late
+    # Each VM gets the snapshot once; heartbeats have 4 KB a second.
+    snapshot = zlib.compress(configuration.document)
+    limit = 1.2 * len(snapshot) + 3.0 * 4_096
+    assert network.sent_bytes / 60 < limit
+
+
+def test_a_vm_serves_as_many_peers_as_its_link_allows() -> None:
+    for link_mbps, limit in ((0.0, 4), (1.0, 1), (10.0, 4), (200.0, 80)):
+        served = snapshots.ServedPeers(link_mbps)
+        hosts = [f'h-{number}' for number in range(100)]
+        assert sum(served.admit(host, 0.0) for host in hosts) == limit
+        assert served.admit('h-0', 0.1)
+        assert not served.admit('h-99', 0.1)
+        # Peers that have what they need ask no more.
+        assert served.admit('h-99', 0.1 + 2 * snapshots.MAX_PART_GAP_S)
+
+
 def test_lost_parts_are_requested_from_another_peer() -> None:
     network = make_large_fleet()
     late = network.vms['10.0.0.3']
