Bound answers of the object API by their gaps too

Found by searching for limits of time around transfers whose size grows. Each part has to come within timeout_s now.

test_an_answer_may_take_as_long_as_it_progresses (test_platform_client) failed before.

--- a/packages/savoryhaven/src/_savoryhaven/tracking/platform.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/platform.py
@@ -21,6 +21,9 @@
 DOCUMENT_KIND = 'routing'
 DOCUMENT_NAME = 'document'
 _READ_CHUNK_BYTES = 8 * 1024 * 1024
+# Time that a whole answer may take on a slow link; the setting ``timeout_s``
+# bounds the wait for each part of it.
+_TRANSFER_MAX_S = 30.0
 
 
 @attrs.frozen
@@ -141,7 +144,11 @@
         if self._session is None:
             self._session = aiohttp.ClientSession()
         url = self._settings.url.rstrip('/') + path
-        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_s + _TRANSFER_MAX_S,
+            connect=timeout_s,
+            sock_read=timeout_s,
+        )
         try:
             async with self._session.request(
                 method, url, timeout=timeout, **options
