Order knowledge by the store's era before its revision

A store that comes back from an older copy gives revisions out again.

The adapter joins the header Store-Era and the revision into one position; all comparisons, messages and older builds order positions by era first. A configuration never goes back (store_behind). An older list is read again after 1 s rather than at once.

Refuted by test_restores: that a VM which was cut off talks others back, once positions are compared. test_a_restore_takes_no_configuration_back passed before already, as versions are compared there.

test_an_upstream_added_after_a_restore_is_used failed before; so did those of test_restores and the new ones of test_store, which could not be written.

--- a/packages/savoryhaven-ctl/src/_savoryhaven_ctl/explanations.py
+++ b/packages/savoryhaven-ctl/src/_savoryhaven_ctl/explanations.py
@@ -46,6 +46,8 @@
         'stopped',
         'store_lost',
         'store_regained',
+        'store_era_changed',
+        'store_behind',
         'store_answer_unreadable',
         'peer_lost',
         'configuration_adopted',
@@ -55,7 +57,13 @@
     }
 )
 _UPSTREAM_EVENTS = frozenset(
-    {'upstream_added', 'upstream_updated', 'upstream_removed', 'lapse_ended'}
+    {
+        'upstream_added',
+        'upstream_updated',
+        'upstream_removed',
+        'upstream_kept',
+        'lapse_ended',
+    }
 )
 
 
--- a/packages/savoryhaven-standins/src/savoryhaven_standins/soak.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/soak.py
@@ -5,7 +5,8 @@
 Faults follow each other and overlap: signals to the VMs' processes, a store
 that is silent, busy, slow or drops its history, connections to it that are
 delayed, reset or silent in one or both directions, hosts that crash or drain
-and are replaced, lost packets. What clients and hosts observe is checked
+and are replaced, lost packets. With ``--restores`` the store comes back from
+older copies as well. What clients and hosts observe is checked
 against the guarantees of the users' pages. The seed determines the sequence
 of faults; the timing depends on the machine.
 """
@@ -41,6 +42,8 @@
 FAULT_LENGTH_S = (0.5, 3.0)
 LOSS_SHARE = 0.02
 RECOVERY_S = 6.0
+# After a restore hosts write again within their heartbeat interval.
+HEARTBEAT_S = 1.2
 RECOVERY_REQUESTS = 20
 Outcome = clients_module.Outcome
 
@@ -63,6 +66,7 @@
         *,
         vms: int = VMS,
         plugins: tuple[str, ...] = (),
+        restores: bool = False,
     ) -> None:
         self.violations: list[str] = []
         self.outcomes: dict[Outcome, int] = dict.fromkeys(Outcome, 0)
@@ -71,6 +75,7 @@
         self._seconds = seconds
         self._vms = vms
         self._plugins = plugins
+        self._restores = restores
         # Choices of callers and faults depend on timing. The schedule has its
         # own generator, so that a seed gives the same faults on any machine.
         self._random = random.Random(seed)
@@ -150,6 +155,9 @@
             self._lose_packets,
             self._forget_history,
         )
+        if self._restores:
+            # Twice, so that short runs have some of them.
+            actions = (*actions, *[self._restore_store] * 2)
         end = _now() + self._seconds
         while _now() < end:
             await asyncio.sleep(self._schedule.uniform(*FAULT_GAP_S))
@@ -277,6 +285,29 @@
     async def _forget_history(self, length_s: float) -> None:
         await self._site.store.forget_history()
 
+    async def _restore_store(self, length_s: float) -> None:
+        """Let the store lose what was written in the meantime.
+
+        Hosts and the operator write again, in another order. Entries of hosts
+        that have left are back until they expire.
+        """
+        copy = self._site.store.take_copy()
+        await asyncio.sleep(length_s)
+        await self._site.store.restore(copy)
+        hosts = list(self._site.hosts)
+        self._random.shuffle(hosts)
+        for host in hosts:
+            await asyncio.sleep(HEARTBEAT_S / len(hosts))
+            if host.alive:
+                await host.register()
+            else:
+                await self._site.store.delete('servers', host.name)
+        await self._write_last_configuration()
+
+    async def _write_last_configuration(self) -> None:
+        number = max(1, (len(self._versions) - 1) and len(self._versions) * 3)
+        await self._site.configure(number, desk_to=self._versions[-1].desk_to)
+
     async def _check_recovery(self) -> None:
         """Check that requests are served again after the last fault."""
         for name in self._site.processes.running:
@@ -374,6 +405,7 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument('--seeds', default='1-3', help='FIRST-LAST')
     parser.add_argument('--seconds', type=float, default=20.0)
+    parser.add_argument('--restores', action='store_true')
     parser.add_argument('--vms', type=int, default=VMS)
     options = parser.parse_args()
     # Raise KeyboardInterrupt on SIGTERM, so that child processes are stopped.
@@ -381,7 +413,9 @@
     first, _, last = options.seeds.partition('-')
     failed = []
     for seed in range(int(first), int(last or first) + 1):
-        soak = run_seed(seed, options.seconds, vms=options.vms)
+        soak = run_seed(
+            seed, options.seconds, vms=options.vms, restores=options.restores
+        )
         counts = {o.value: n for o, n in soak.outcomes.items() if n}
         print(f'seed {seed}: {len(soak.faults)} faults, {counts}', flush=True)
         for violation in soak.violations:
--- a/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/store.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/store.py
@@ -1,6 +1,11 @@
-"""The platform's metadata store: objects, revisions, watches and outages."""
+"""The platform's metadata store: objects, revisions, watches and outages.
+
+It may come back from an older copy. What was written since is lost then, its
+revisions are given out again, and the era rises by one.
+"""
 
 import asyncio
+import copy as copy_module
 import enum
 import typing
 
@@ -8,6 +13,8 @@
 import attrs
 
 HISTORY_EVENTS = 1_000
+# In all answers: how often the store came back from a copy, plus one.
+ERA_HEADER = 'Store-Era'
 
 
 class Mode(enum.Enum):
@@ -36,6 +43,14 @@
     deleted: bool
 
 
+@attrs.frozen
+class Copy:
+    """The objects of a store as of a revision."""
+
+    revision: int
+    objects: dict[str, dict[str, dict[str, typing.Any]]]
+
+
 class MetadataStore:
     """A store that tests write to directly."""
 
@@ -44,6 +59,8 @@
         self.slow_s = SLOW_S
         self.mode = Mode.UP
         self.calls = 0
+        # Tests also set what no store should send; None sends no header.
+        self.era: typing.Any = 1
         self._revision = 1
         self._objects: dict[str, dict[str, dict[str, typing.Any]]] = {}
         self._history: list[_Event] = []
@@ -54,6 +71,7 @@
     async def open(self, host: str, port: int) -> None:
         """Start serving at an address."""
         app = web.Application()
+        app.on_response_prepare.append(self._add_era)
         app.add_routes([web.get('/v1/objects/{kind}', self._get)])
         self._runner = web.AppRunner(
             app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
@@ -89,6 +107,26 @@
             self._revision += 1
             self._changed.notify_all()
 
+    def take_copy(self) -> Copy:
+        """Return a copy of all objects."""
+        return Copy(self._revision, copy_module.deepcopy(self._objects))
+
+    async def restore(self, copy: Copy) -> None:
+        """Go back to a copy; the history before it is lost as well."""
+        async with self._changed:
+            self.era += 1
+            self._objects = copy_module.deepcopy(copy.objects)
+            self._revision = copy.revision
+            self._history.clear()
+            self._first_revision = copy.revision + 1
+            self._changed.notify_all()
+
+    async def _add_era(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        if self.era is not None:
+            response.headers[ERA_HEADER] = str(self.era)
+
     async def _record(self, event: _Event) -> None:
         async with self._changed:
             self._history.append(event)
@@ -123,7 +161,12 @@
         try:
             async with asyncio.timeout(wait_s), self._changed:
                 while True:
-                    if since + 1 < self._first_revision:
+                    # A revision before the history, or of another one.
+                    if (
+                        not self._first_revision
+                        <= since + 1
+                        <= (self._revision + 1)
+                    ):
                         return web.json_response({}, status=410)
                     events = self._find_events(kind, since)
                     if events:
--- a/packages/savoryhaven-standins/tests/test_soak.py
+++ b/packages/savoryhaven-standins/tests/test_soak.py
@@ -21,6 +21,13 @@
     assert run.outcomes[soak.Outcome.SERVED] > 100
 
 
+def test_short_soak_with_restores_has_no_violations() -> None:
+    run = soak.run_seed(2, SECONDS, restores=True)
+    assert any('restore' in fault for fault in run.faults)
+    assert not run.violations, (run.violations, run.faults)
+    assert run.outcomes[soak.Outcome.SERVED] > 100
+
+
 def test_soak_detects_vm_that_resets_unknown_flows() -> None:
     # With this seed, faults kill a VM and stop another while flows are open.
     run = soak.run_seed(
--- a/packages/savoryhaven-standins/tests/test_users_site.py
+++ b/packages/savoryhaven-standins/tests/test_users_site.py
@@ -420,3 +420,49 @@
     await asyncio.sleep(5.0)
     for number in range(4):
         assert await request_once(site, f's-{number}', added) is SERVED
+
+
+async def lose_last_writes(site: Site, lost: int) -> None:
+    """Let the store come back from a copy, ``lost`` writes ago, after 1 s."""
+    copy = site.store.take_copy()
+    for number in range(lost):
+        await site.store.put('servers', f'i-{number:08x}', {'state': 'gone'})
+    # All VMs know the revisions that are lost.
+    await asyncio.sleep(2.0)
+    site.store.mode = store.Mode.BUSY
+    await site.store.restore(copy)
+    await asyncio.sleep(1.0)
+    site.store.mode = store.Mode.UP
+
+
+# Guards against a store that came back from an older copy: its lists are
+# rejected until its revisions have passed those of before.
+@run_site(vms=2, hosts=4, seed=24)
+async def test_an_upstream_added_after_a_restore_is_used(site: Site) -> None:
+    await lose_last_writes(site, lost=30)
+    hosts = [h for h in site.hosts if h.service == 'desk']
+    for host in hosts:
+        await host.leave()
+    await site.add_host('desk')
+    await asyncio.sleep(5.0)
+    for number in range(4):
+        assert await request_once(site, f'r-{number}') is SERVED
+
+
+@run_site(vms=2, hosts=4, seed=25)
+async def test_a_restore_takes_no_configuration_back(site: Site) -> None:
+    copy = site.store.take_copy()
+    await site.configure(6, extra=True)
+    await asyncio.sleep(2.0)
+    await site.store.restore(copy)
+    added = (DESK[0], 9_999)
+    for number in range(20):
+        assert await request_once(site, f'c-{number}', added) is SERVED
+        await asyncio.sleep(0.1)
+    await site.configure(9, extra=True)
+    await asyncio.sleep(3.0)
+    host = site.find_vm_host('vm-1')
+    async with aiohttp.ClientSession() as session:
+        async with session.get(f'http://{host}:9464/status') as response:
+            status = await response.json()
+    assert status['configuration'] == 9
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/catalogue.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/catalogue.py
@@ -13,6 +13,7 @@
 import attrs
 
 from _savoryhaven.datapath import packets
+from _savoryhaven.knowledge import positions
 from _savoryhaven.knowledge import records
 from _savoryhaven.placement import upstreams
 
@@ -53,7 +54,20 @@
     lapsed: bool
 
 
-Change = Added | Updated | Removed
+@attrs.frozen(repr=False)
+class Kept:
+    """The state of an upstream was kept although the store has another.
+
+    The store came back from a copy that is older than this state. It ends
+    when the upstream describes itself again. ``reason`` is what the copy does
+    not know.
+    """
+
+    upstream: records.Upstream
+    reason: str
+
+
+Change = Added | Updated | Removed | Kept
 
 
 @attrs.frozen(repr=False)
@@ -220,6 +234,9 @@
         now: float,
     ) -> list[Change]:
         changes: list[Change] = []
+        if self._is_newer_era(revision):
+            # Upstreams that are not in the copy describe themselves again.
+            self.store_regained_at = now
         for upstream in present:
             change = self._put(upstream, now)
             if change is not None:
@@ -233,11 +250,21 @@
             self._digest = None
         return changes
 
+    def _is_newer_era(self, revision: int) -> bool:
+        """Return whether the store has come back from a copy since."""
+        era = positions.get_era(revision)
+        return 0 < self.revision and positions.get_era(self.revision) < era
+
     def _put(self, upstream: records.Upstream, now: float) -> Change | None:
         upstream_id = upstream.upstream_id
-        if upstream.revision <= self._get_absent_revision(upstream_id):
+        absent_revision = self._get_absent_revision(upstream_id)
+        if upstream.revision <= absent_revision:
             return None
         state = self._states.get(upstream_id)
+        if _is_of_later_era(upstream, state, absent_revision):
+            reason = _find_contradiction(state, upstream)
+            if reason:
+                return self._keep(state, upstream, reason, now)
         if state is None:
             self._insert(upstream, now)
             return Added(upstream)
@@ -257,6 +284,22 @@
         self._start_warm_up(state, now)
         return Added(upstream) if returned else Updated(upstream)
 
+    def _keep(
+        self,
+        state: upstreams.UpstreamState | None,
+        upstream: records.Upstream,
+        reason: str,
+        now: float,
+    ) -> Change:
+        """Ignore a description in a copy, until there is a later one."""
+        if state is None or state.removed_at != math.inf:
+            self._note_absence(upstream.upstream_id, upstream.revision, now)
+            return Kept(upstream, reason)
+        state.upstream = attrs.evolve(
+            state.upstream, revision=upstream.revision
+        )
+        return Kept(state.upstream, reason)
+
     def _insert(
         self, upstream: records.Upstream, now: float
     ) -> upstreams.UpstreamState:
@@ -311,6 +354,38 @@
             self._assign_tag(upstream.tag)
 
 
+def _is_of_later_era(
+    upstream: records.Upstream,
+    state: upstreams.UpstreamState | None,
+    absent_revision: int,
+) -> bool:
+    """Return whether the store came back from a copy since the last news."""
+    known = absent_revision
+    if state is not None:
+        known = max(known, state.upstream.revision)
+    if not known:
+        return False
+    return positions.get_era(known) < positions.get_era(upstream.revision)
+
+
+def _find_contradiction(
+    state: upstreams.UpstreamState | None, upstream: records.Upstream
+) -> str:
+    """Return what a copy does not know of an upstream, '' if nothing."""
+    if state is None:
+        return 'it has left'
+    known = state.upstream
+    if upstream.started_ms > known.started_ms:
+        return ''
+    if state.removed_at != math.inf and not state.lapsed:
+        return 'it has left'
+    if upstream.started_ms < known.started_ms:
+        return 'it has started again'
+    if known.draining and not upstream.draining:
+        return 'it drains'
+    return ''
+
+
 def _is_replacement(
     before: records.Upstream, upstream: records.Upstream
 ) -> bool:
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
@@ -414,6 +414,8 @@
                         started_ms=upstream.started_ms,
                         **fields,
                     )
+                case catalogue_module.Kept(_, reason):
+                    self._events.emit('upstream_kept', reason=reason, **fields)
                 case catalogue_module.Removed(_, lapsed):
                     self._events.emit(
                         'upstream_removed', lapsed=lapsed, **fields
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/reader.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/reader.py
@@ -13,6 +13,7 @@
 from _savoryhaven import errors
 from _savoryhaven.knowledge import catalogue as catalogue_module
 from _savoryhaven.knowledge import gossip as gossip_module
+from _savoryhaven.knowledge import positions
 from _savoryhaven.knowledge import records
 from _savoryhaven.knowledge import routes as routes_module
 from _savoryhaven.operation import counters as counters_module
@@ -230,6 +231,8 @@
                     wait_s=wait_s,
                 )
             )
+        if configuration is not None and not adopted:
+            self._log_behind(configuration.version)
         if adopted:
             self._gossip.announce_state(now)
             self._gossip.log_configuration(
@@ -279,7 +282,7 @@
             page = await self._store.list_upstreams(READ_TIMEOUT_S, page.more)
             pages.append(page)
         # The next watch returns changes made while further pages were read.
-        self._apply_list(
+        await self._apply_list(
             records.UpstreamSnapshot(
                 revision=pages[0].revision,
                 upstreams=tuple(u for p in pages for u in p.upstreams),
@@ -305,7 +308,7 @@
             if self._catalogue.revision:
                 return True
 
-    def _apply_list(
+    async def _apply_list(
         self, snapshot: records.UpstreamSnapshot, requested_at: float
     ) -> None:
         now = self._clock.read_monotonic()
@@ -316,7 +319,9 @@
                 revision=snapshot.revision,
                 known=self._catalogue.revision,
             )
+            await asyncio.sleep(WATCH_S)
             return
+        self._log_era(self._catalogue.revision, snapshot.revision)
         self._catalogue.confirm(requested_at, now)
         applied = self._catalogue.apply_snapshot(snapshot, now)
         self._report_skipped(snapshot.skipped)
@@ -324,6 +329,27 @@
             self._gossip.log_changes(applied, 'store', now)
             self._gossip.announce_state(now)
 
+    def _log_behind(self, version: int) -> None:
+        """Log that the store has an older version than is in force."""
+        if version < self._routes.version:
+            self._events.emit(
+                'store_behind',
+                store_version=version,
+                configuration=self._routes.version,
+            )
+
+    def _log_era(self, known: int, revision: int) -> None:
+        """Log that the store came back from an older copy."""
+        era, era_before = positions.get_era(revision), positions.get_era(known)
+        if known and era > era_before:
+            self._events.emit(
+                'store_era_changed',
+                era=era,
+                era_before=era_before,
+                revision=positions.get_revision(revision),
+                revision_before=positions.get_revision(known),
+            )
+
     def _log_history_gone(self, subject: str) -> None:
         self._events.emit('store_history_gone', subject=subject)
 
--- a/packages/savoryhaven/src/_savoryhaven/operation/http.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/http.py
@@ -37,6 +37,11 @@
 
     status: int
     body: bytes
+    headers: tuple[tuple[str, str], ...] = ()
+
+    def list_header(self, name: str) -> list[str]:
+        """Return the values of a header, given in lower case."""
+        return [value for key, value in self.headers if key == name]
 
     def parse_json(self) -> typing.Any:
         """Return the decoded body; raises ``UnreadableError`` ``SH303``."""
@@ -57,8 +62,14 @@
 
     def __init__(self) -> None:
         self.body = bytearray()
+        self.headers: list[tuple[str, str]] = []
         self.complete = False
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers.append(
+            (name.decode('latin-1').lower(), value.decode('latin-1'))
+        )
+
     def on_body(self, data: bytes) -> None:
         self.body += data
 
@@ -127,7 +138,11 @@
         parser.feed_data(data)
         if len(collector.body) > BODY_MAX_BYTES:
             raise EOFError('response body exceeds the size limit')
-    return Response(parser.get_status_code(), bytes(collector.body))
+    return Response(
+        parser.get_status_code(),
+        bytes(collector.body),
+        tuple(collector.headers),
+    )
 
 
 def _encode_request(
--- a/packages/savoryhaven/tests/test_reader.py
+++ b/packages/savoryhaven/tests/test_reader.py
@@ -3,6 +3,7 @@
 import asyncio
 import typing
 
+from _savoryhaven.knowledge import positions
 from _savoryhaven.knowledge import reader as reader_module
 from _savoryhaven.operation import counters
 from savoryhaven_standins import fakes
@@ -91,6 +92,34 @@
     assert vm.catalogue.revision == 100
 
 
+def test_an_older_configuration_in_the_store_is_logged_not_adopted() -> None:
+    vm = make_vm()
+    vm.store.configuration = tagged.make_configuration(9)
+    read(vm, 'configuration')
+    vm.store.configuration = tagged.make_configuration(6)
+    read(vm, 'configuration')
+    assert vm.routes.version == 9
+    (behind,) = [e for e in vm.events._queue if e.name == 'store_behind']
+    assert behind.fields == {'store_version': 6, 'configuration': 9}
+
+
+def test_a_later_era_is_logged_with_both_revisions() -> None:
+    vm = make_vm()
+    vm.store.revision = positions.make_position(1, 500)
+    read(vm, 'upstreams')
+    vm.store.revision = positions.make_position(2, 300)
+    vm.store.history_gone = True
+    read(vm, 'upstreams')
+    (changed,) = [e for e in vm.events._queue if e.name == 'store_era_changed']
+    assert changed.fields == {
+        'era': 2,
+        'era_before': 1,
+        'revision': 300,
+        'revision_before': 500,
+    }
+    assert vm.catalogue.revision == vm.store.revision
+
+
 def test_known_state_stays_in_force_while_the_store_is_down() -> None:
     vm = make_vm()
     vm.store.upstreams = (tagged.make_upstream(1),)
