--- a/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
@@ -257,10 +257,19 @@
     def _send_snapshot(
         self, request: messages.SnapshotRequest, host: str, now: float
     ) -> None:
-        if not self._served_peers.admit(host, now):
-            self._counters[_Count.SNAPSHOTS_DEFERRED] += 1
+        parts = self._list_parts(request, now)
+        if not parts:
             return
-        for part in self._list_parts(request, now):
+        count = parts[-1].count
+        # What fits into one answer is sent to all, so that VMs that start
+        # together don't wait for each other.
+        if count > snapshots.FIRST_WINDOW:
+            if not self._served_peers.admit(host, now):
+                self._counters[_Count.SNAPSHOTS_DEFERRED] += 1
+                return
+            if parts[-1].index == count - 1:
+                self._served_peers.release(host)
+        for part in parts:
             self._counters[_Count.SNAPSHOT_PARTS_SENT] += 1
             self._send_message(part, host)
 
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/snapshots.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/snapshots.py
@@ -164,6 +164,10 @@
         self._requested_at[host] = now
         return True
 
+    def release(self, host: str) -> None:
+        """Record that a peer got its last part, and asks no more."""
+        self._requested_at.pop(host, None)
+
 
 @attrs.define(eq=False, repr=False)
 class _Assembly:
@@ -250,7 +254,8 @@
         """Return the request that follows a part; None if more is to come.
 
         Parts are sent in order, so that what is missing when the last one of
-        a request arrives was lost.
+        a request arrives was lost. A link that queues too little loses the
+        last ones, so this says nothing about the size of requests.
         """
         pending = self._pending.get(part.subject)
         assembly = self._assemblies.get((part.subject, part.digest, ''))
@@ -261,13 +266,13 @@
             pending.digest = part.digest
             pending.missing &= set(range(part.count))
             pending.size = len(pending.missing)
-        is_last = part.index >= max(pending.missing, default=0)
+        if part.index not in pending.missing:
+            return None
+        is_last = part.index == max(pending.missing)
         pending.missing.discard(part.index)
         if not is_last:
             return None
-        if pending.missing:
-            self._note_lost(part.subject)
-        else:
+        if not pending.missing:
             self._window = min(WINDOW_MAX, self._window + WINDOW_GROWTH)
         missing = assembly.list_missing()
         return self._make_request(part.subject, part.digest, missing, host)
--- a/packages/savoryhaven/tests/test_gossip.py
+++ b/packages/savoryhaven/tests/test_gossip.py
@@ -386,10 +386,44 @@
         assert sum(served.admit(host, 0.0) for host in hosts) == limit
         assert served.admit('h-0', 0.1)
         assert not served.admit('h-99', 0.1)
+        served.release('h-0')
+        assert served.admit('h-98', 0.1)
         # Peers that have what they need ask no more.
         assert served.admit('h-99', 0.1 + 2 * snapshots.MAX_PART_GAP_S)
 
 
+# Guards against VMs that wait for each other when all have lost power.
+def test_a_snapshot_of_one_answer_is_sent_to_all_peers_at_once() -> None:
+    network = tagged.Network()
+    for number in range(1, 92):
+        tagged.Vm().join(network, f'10.0.0.{number}', link_mbps=5.0)
+    first = network.vms['10.0.0.1']
+    first.learn([tagged.make_upstream(n) for n in range(1, 151)])
+    for vm in network.vms.values():
+        vm.gossip.send_heartbeats(SEEDS, network.clock.now)
+    network.deliver()
+    first.gossip.announce_state(network.clock.now)
+    network.deliver()
+    network.pass_time(0.5, seeds=SEEDS)
+    assert not first.counters[counters.Count.SNAPSHOTS_DEFERRED]
+    for vm in network.vms.values():
+        assert vm.routes.version == 1, vm.host
+        assert len(vm.catalogue.list_present()) == 150, vm.host
+
+
+def test_parts_that_overtake_each_other_do_not_shrink_requests() -> None:
+    network = make_large_fleet()
+    first, late = network.vms['10.0.0.1'], network.vms['10.0.0.3']
+    first.gossip.send_heartbeats(('10.0.0.3',), late.clock.now)
+    (heartbeat,) = network.take_datagrams()
+    late.gossip.receive(heartbeat, '10.0.0.1', late.clock.now)
+    (request,) = take_requests(network)
+    parts = take_parts(first, '10.0.0.3', request)
+    for part in [*parts[:-2], parts[-1], parts[-2]]:
+        late.gossip.receive(part, '10.0.0.1', late.clock.now)
+    assert late.gossip._assembler._window >= snapshots.FIRST_WINDOW
+
+
 def test_lost_parts_are_requested_from_another_peer() -> None:
     network = make_large_fleet()
     late = network.vms['10.0.0.3']
