Allow gaps as long as a call may wait for its answer

A server may send the head of a watch's answer before it waits 1 s for a change; gaps of 1 s would then end each watch. The time that a call gives an answer to begin bounds the gaps as well, as in the client of the object API.

--- a/packages/savoryhaven/src/_savoryhaven/operation/http.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/http.py
@@ -20,9 +20,7 @@
 BODY_MAX_BYTES = 8 * 1024 * 1024
 CONNECT_TIMEOUT_S = 0.5
 # A response that has begun may take as long as its body needs on the VM's
-# link, 1.7 s for 1 MB at 5 Mbit/s, unless nothing arrives for
-# ``PROGRESS_TIMEOUT_S``: TCP repeats a lost segment twice in that time.
-PROGRESS_TIMEOUT_S = 1.0
+# link: 1.7 s for 1 MB at 5 Mbit/s.
 TRANSFER_MAX_S = 15.0
 # TCP keepalive and user timeout, by which the kernel detects a silent
 # connection, in addition to the timeout of each call.
@@ -77,6 +75,21 @@
         self.complete = True
 
 
+class _GapLimit:
+    """Postpones a timeout while a response progresses."""
+
+    def __init__(self, timeout: asyncio.Timeout, gap_s: float) -> None:
+        self._timeout: typing.Final = timeout
+        self._gap_s: typing.Final = gap_s
+        self._loop: typing.Final = asyncio.get_running_loop()
+        self._latest: typing.Final = self._loop.time() + TRANSFER_MAX_S
+
+    def note_progress(self) -> None:
+        """Allow another gap."""
+        next_at = self._loop.time() + self._gap_s
+        self._timeout.reschedule(min(self._latest, next_at))
+
+
 async def request(
     address: addresses.Address,
     method: str,
@@ -87,7 +100,7 @@
 ) -> Response:
     """Send a request on a new connection and return the response.
 
-    It has to begin within ``timeout_s``, and arrive without long gaps then.
+    It has to begin within ``timeout_s``, and to arrive without longer gaps.
     Raises ``PlatformError`` ``SH301`` if it does not. Connections
     are not reused: an open one may hang forever while new ones work, and a
     VM makes a few calls a second at most.
@@ -96,7 +109,8 @@
     try:
         async with asyncio.timeout(timeout_s) as limit:
             request_bytes = _encode_request(address, method, path, body)
-            return await _exchange(address, request_bytes, collector, limit)
+            gaps = _GapLimit(limit, timeout_s)
+            return await _exchange(address, request_bytes, collector, gaps)
     except (OSError, EOFError, httptools.HttpParserError) as exc:
         received = f'{len(collector.body)} bytes of the body received'
         raise _make_error(f'{method} {path}: {exc!r}, {received}') from exc
@@ -106,7 +120,7 @@
     address: addresses.Address,
     request_bytes: bytes,
     collector: _ResponseCollector,
-    limit: asyncio.Timeout,
+    gaps: _GapLimit,
 ) -> Response:
     async with asyncio.timeout(CONNECT_TIMEOUT_S):
         reader, writer = await asyncio.open_connection(
@@ -115,7 +129,7 @@
     try:
         _enable_keepalive(writer)
         writer.write(request_bytes)
-        return await _read_response(reader, collector, limit)
+        return await _read_response(reader, collector, gaps)
     finally:
         writer.close()
 
@@ -123,18 +137,16 @@
 async def _read_response(
     reader: asyncio.StreamReader,
     collector: _ResponseCollector,
-    limit: asyncio.Timeout,
+    gaps: _GapLimit,
 ) -> Response:
     parser = httptools.HttpResponseParser(collector)
-    loop = asyncio.get_running_loop()
-    latest = loop.time() + TRANSFER_MAX_S
     while not collector.complete:
         data = await reader.read(_READ_BYTES)
         if not data:
             raise EOFError(
                 'connection closed before the response was complete'
             )
-        limit.reschedule(min(latest, loop.time() + PROGRESS_TIMEOUT_S))
+        gaps.note_progress()
         parser.feed_data(data)
         if len(collector.body) > BODY_MAX_BYTES:
             raise EOFError('response body exceeds the size limit')
