--- a/packages/savoryhaven/src/_savoryhaven/knowledge/snapshots.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/snapshots.py
@@ -28,7 +28,7 @@
 # Snapshots of a subject that are kept for peers that have parts of them.
 KEPT_SNAPSHOTS = 2
 # Parts in a request: at first, more after each complete answer, and at most.
-# Links of 5 Mbit/s were seen to queue 27 parts.
+# 16 parts have 18 KB, which a link of 5 Mbit/s passes in 30 ms.
 FIRST_WINDOW = 8
 WINDOW_GROWTH = 4
 WINDOW_MAX = 16
