--- a/packages/savoryhaven/src/_savoryhaven/operation/settings.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/settings.py
@@ -10,6 +10,7 @@
 
 import functools
 import json
+import types
 import typing
 
 import attrs
@@ -115,12 +116,43 @@
     )
 
 
+@attrs.frozen(kw_only=True, repr=False)
+class ColdStartSettings:
+    """Limits of the openings that an upstream gets while it is cold.
+
+    All VMs together open at most ``overshoot`` times the rate that the
+    upstream's service bears while cold, plus ``slack`` flows, in any second.
+    """
+
+    overshoot: float = attrs.field(
+        default=1.5, validator=_check_number(0.0, 100.0)
+    )
+    slack: float = attrs.field(
+        default=5.0, validator=_check_number(0.0, 1_000_000.0)
+    )
+
+
+@attrs.frozen(kw_only=True, repr=False)
+class OwnLimitSettings:
+    """The VM refuses openings that it can't handle in time itself.
+
+    ``max_wait_ms``: how long packets may wait in the VM's socket.
+    """
+
+    max_wait_ms: float = attrs.field(
+        default=50.0, validator=_check_number(5.0, 10_000.0)
+    )
+
+
 @attrs.frozen(kw_only=True, repr=False)
 class Settings:
     """All settings of a VM.
 
     ``link_mbps`` is the rate of its link in Mbit/s, zero if unknown: VMs with
-    fast links read the store for the others.
+    fast links read the store for the others. ``evacuation`` is whether the
+    operator may evacuate failure domains by objects in the store.
+    ``uneven_upstreams`` is whether the choice of upstreams considers how fast
+    each one answers.
     """
 
     vm_id: str = attrs.field(validator=_check_name)
@@ -137,6 +169,10 @@
     link_mbps: float = attrs.field(
         default=0.0, validator=_check_number(0.0, LINK_MAX_MBPS)
     )
+    evacuation: bool = False
+    cold_start: ColdStartSettings | None = None
+    uneven_upstreams: bool = False
+    own_limits: OwnLimitSettings | None = None
     plugins: tuple[str, ...] = ()
 
 
@@ -253,6 +289,7 @@
 
 
 def _convert(kind: typing.Any, value: typing.Any, path: str) -> typing.Any:
+    kind = _strip_none(kind)
     if attrs.has(kind):
         return _build(kind, value, path)
     if typing.get_origin(kind) is tuple:
@@ -270,6 +307,14 @@
     return value
 
 
+def _strip_none(kind: typing.Any) -> typing.Any:
+    """Return the type of an optional section; None stands for its absence."""
+    if not isinstance(kind, types.UnionType):
+        return kind
+    (present,) = (k for k in typing.get_args(kind) if k is not type(None))
+    return present
+
+
 def _make_error(
     code: str, message: str, *, path: str = '', hint: str = ''
 ) -> errors.SettingsError:
