Evacuated failure domains: the set, its messages and its effect on openings

The operator can now take a failure domain out of use by an object in the store; until now only upstreams that drained got no new flows. Evacuations holds the set as of a position, heartbeats carry it, openings avoid it. Off by default: heartbeats then have the bytes of older builds.

--- a/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
@@ -12,6 +12,7 @@
 from _savoryhaven.datapath import packets
 from _savoryhaven import errors
 from _savoryhaven.knowledge import catalogue as catalogue_module
+from _savoryhaven.knowledge import evacuations as evacuations_module
 from _savoryhaven.knowledge import gossip as gossip_module
 from _savoryhaven.knowledge import members as members_module
 from _savoryhaven.knowledge import reader as reader_module
@@ -158,6 +159,7 @@
         failure_domain: str = 'a',
         seed: int = 1,
         clock: typing.Any = None,
+        evacuation: bool = False,
     ) -> None:
         self.clock = clock or ManualClock()
         self.codec = JsonCodec()
@@ -167,6 +169,15 @@
         )
         self.routes = routes_module.Routes()
         self.catalogue = catalogue_module.Catalogue(self.codec)
+        self.evacuations = (
+            evacuations_module.Evacuations(
+                catalogue=self.catalogue,
+                counters=self.counters,
+                events=self.events,
+            )
+            if evacuation
+            else None
+        )
         self.sent: list[tuple[bytes, tuple[str, int]]] = []
         self.resets: list[packets.FlowKey] = []
         self.requested_tags: list[int] = []
@@ -183,6 +194,7 @@
             counters=self.counters,
             events=self.events,
             source=random.Random(seed),
+            evacuations=self.evacuations,
         )
 
     def _record_requested_tag(self, tag: int, now: float) -> None:
@@ -206,6 +218,7 @@
             counters=self.counters,
             events=self.events,
             source=random.Random(host),
+            evacuations=self.evacuations,
         )
         self.store = Store()
         self.reader = reader_module.StoreReader(
@@ -217,6 +230,7 @@
             counters=self.counters,
             events=self.events,
             source=random.Random(host),
+            evacuations=self.evacuations,
         )
         network.vms[host] = self
         network.clock = network.clock or self.clock
@@ -377,11 +391,11 @@
             self.deliver()
 
 
-def make_network(count: int) -> Network:
+def make_network(count: int, *, evacuation: bool = False) -> Network:
     """Return a network of new VMs, from ``10.0.0.1`` on."""
     network = Network()
     for number in range(1, count + 1):
-        Vm().join(network, f'10.0.0.{number}')
+        Vm(evacuation=evacuation).join(network, f'10.0.0.{number}')
     return network
 
 
--- a/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
@@ -14,6 +14,7 @@
 from _savoryhaven.datapath import openings as openings_module
 from _savoryhaven.datapath import packets
 from _savoryhaven.knowledge import catalogue as catalogue_module
+from _savoryhaven.knowledge import evacuations as evacuations_module
 from _savoryhaven.knowledge import records
 from _savoryhaven.knowledge import routes as routes_module
 from _savoryhaven.operation import counters as counters_module
@@ -72,10 +73,12 @@
         counters: counters_module.Counters,
         events: events_module.EventLog,
         source: random.Random,
+        evacuations: evacuations_module.Evacuations | None = None,
     ) -> None:
         self._codec: typing.Final = codec
         self._routes: typing.Final = routes
         self._catalogue: typing.Final = catalogue
+        self._evacuations: typing.Final = evacuations
         self._outputs: typing.Final = outputs
         self._failure_domain: typing.Final = failure_domain
         self._counters: typing.Final = counters
@@ -289,7 +292,13 @@
 
     def _receive_opening(self, packet: packets.FlowPacket, now: float) -> None:
         opening = self.openings.get(packet.key)
-        if opening is not None and not self.openings.is_overdue(opening, now):
+        evacuated = self._list_evacuated(now)
+        overdue = opening is not None and self.openings.is_overdue(
+            opening, now
+        )
+        if opening is not None and not (
+            overdue or opening.state.upstream.failure_domain in evacuated
+        ):
             self._send_opening(packet, opening.state)
             self._counters[_Count.REPEATED] += 1
             return
@@ -300,7 +309,8 @@
         service = routes_module.choose_service(route, packet.key)
         excluded: frozenset[int] = frozenset()
         if opening is not None:
-            opening.state.note_failure(opening.sent_at, now)
+            if overdue:
+                opening.state.note_failure(opening.sent_at, now)
             excluded = opening.tried_tags
         choice = selection.choose_upstream(
             self._catalogue.list_service(service),
@@ -308,6 +318,7 @@
                 now=now,
                 failure_domain=self._failure_domain,
                 excluded=excluded,
+                excluded_domains=evacuated,
                 source=self._random,
             ),
         )
@@ -316,6 +327,40 @@
                 self._admit(packet, route, choice, opening, now)
             case selection.NoUpstream(reason):
                 self._decide_without_upstream(packet, service, reason, now)
+            case selection.AllEvacuated():
+                awaits_answer = opening is not None and not overdue
+                self._decide_evacuated(packet, awaits_answer, now)
+
+    def _list_evacuated(self, now: float) -> frozenset[str]:
+        if self._evacuations is None:
+            return frozenset()
+        return self._evacuations.list_excluded(now)
+
+    def _decide_evacuated(
+        self, packet: packets.FlowPacket, awaits_answer: bool, now: float
+    ) -> None:
+        """Refuse an opening that only evacuated upstreams could serve.
+
+        A copy is dropped if the flow is open, or if an answer to the copy
+        before may be on its way: a reset could end a flow that its upstream
+        serves, and its client could not be certain that nothing has run.
+        """
+        flow = self.flows.get(packet.key)
+        if awaits_answer or (flow is not None and not flow.ended):
+            self._counters[_Count.DROPPED_EVACUATED] += 1
+            self._emit_opening(
+                'opening_dropped',
+                packet,
+                now,
+                reason='its evacuated upstream may have answered',
+            )
+            return
+        self._counters[_Count.REFUSED_EVACUATED] += 1
+        self._refuse(
+            packet,
+            'all failure domains with its upstreams are evacuated',
+            now,
+        )
 
     def _admit(
         self,
--- a/packages/savoryhaven/src/_savoryhaven/hooks.py
+++ b/packages/savoryhaven/src/_savoryhaven/hooks.py
@@ -134,7 +134,7 @@
 
 
 class MetadataStore(typing.Protocol):
-    """A store of routes and upstreams, with revisions and watches.
+    """A store of routes, upstreams and evacuations, with revisions.
 
     Each call may raise ``PlatformError``; it takes ``timeout_s`` seconds at
     most. After a ``HistoryGoneError`` of a watch, callers have to list again.
@@ -160,6 +160,19 @@
     ) -> records.UpstreamChanges:
         """Return changes since a revision; waits ``wait_s`` for the first."""
 
+    async def list_evacuations(
+        self, timeout_s: float
+    ) -> records.EvacuationSnapshot:
+        """Return all evacuated failure domains.
+
+        Called only if the setting ``evacuation`` is on, as is the next one.
+        """
+
+    async def watch_evacuations(
+        self, position: int, wait_s: float, timeout_s: float
+    ) -> records.EvacuationChanges:
+        """Return changes since a position; waits ``wait_s`` for the first."""
+
 
 class TaggedPlatform(typing.Protocol):
     """A platform whose packets carry a tag that names their upstream."""
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
@@ -11,6 +11,7 @@
 
 from _savoryhaven import errors
 from _savoryhaven.knowledge import catalogue as catalogue_module
+from _savoryhaven.knowledge import evacuations as evacuations_module
 from _savoryhaven.knowledge import loads as loads_module
 from _savoryhaven.knowledge import members as members_module
 from _savoryhaven.knowledge import messages
@@ -58,10 +59,12 @@
         counters: counters_module.Counters,
         events: events_module.EventLog,
         source: random.Random,
+        evacuations: evacuations_module.Evacuations | None = None,
     ) -> None:
         self.members: typing.Final = members
         self._routes: typing.Final = routes
         self._catalogue: typing.Final = catalogue
+        self._evacuations: typing.Final = evacuations
         self._failure_domain: typing.Final = failure_domain
         self._incarnation: typing.Final = incarnation
         self._send: typing.Final = send
@@ -197,6 +200,7 @@
             self._loads.replace_reports(heartbeat.vm_id, heartbeat.loads)
         self._compare_configuration(heartbeat, host, now)
         self._compare_catalogue(heartbeat, host, now)
+        self._compare_evacuations(heartbeat, host, now)
 
     def _compare_configuration(
         self, heartbeat: messages.Heartbeat, host: str, now: float
@@ -229,6 +233,33 @@
             age_s = heartbeat.catalogue_age_ms / 1000
             catalogue.confirm(now - age_s, now)
 
+    def _compare_evacuations(
+        self, heartbeat: messages.Heartbeat, host: str, now: float
+    ) -> None:
+        if self._evacuations is None or heartbeat.evacuations is None:
+            return
+        age_ms = heartbeat.evacuations_age_ms
+        changed = self._evacuations.adopt(
+            heartbeat.evacuations,
+            heartbeat.evacuations_position,
+            source=host,
+            confirmed_at=now - age_ms / 1000 if age_ms >= 0 else -math.inf,
+            now=now,
+        )
+        if changed:
+            self.announce_state(now)
+
+    def _describe_evacuations(self, now: float) -> dict[str, typing.Any]:
+        """Return the fields of a heartbeat; none if they are not sent."""
+        known = self._evacuations
+        if known is None or known.list_shared() is None:
+            return {}
+        return {
+            'evacuations': known.list_shared(),
+            'evacuations_position': known.position,
+            'evacuations_age_ms': _age_ms(known.confirmed_at, now),
+        }
+
     def _request(
         self, subject: str, version: int, host: str, now: float
     ) -> None:
@@ -470,6 +501,7 @@
             configuration_revision=(
                 0 if self._routes.newer_unreadable else self._routes.revision
             ),
+            **self._describe_evacuations(now),
         )
 
     def _choose_hosts(self, now: float) -> list[str]:
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/messages.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/messages.py
@@ -59,6 +59,8 @@
     ``heard`` are the live VMs of the lowest ranks that the sender knows.
     ``link_mbps`` is zero if unknown, as is ``configuration_revision``, the
     store revision as of which the sender has the newest configuration.
+    ``evacuations`` are the evacuated failure domains as of a position, None
+    if the sender does not send them; the position is zero then.
     """
 
     vm_id: str
@@ -77,6 +79,9 @@
     heard: tuple[HeardMember, ...] = ()
     link_mbps: int = 0
     configuration_revision: int = 0
+    evacuations: tuple[str, ...] | None = None
+    evacuations_position: int = 0
+    evacuations_age_ms: int = -1
 
 
 @attrs.frozen(repr=False)
@@ -134,9 +139,24 @@
 _KIND_NUMBERS = {kind: number for number, kind in _KINDS.items()}
 
 
+# Last fields of messages that are left out if they have their defaults, so
+# that a VM without evacuations sends what older builds send.
+_OMITTED_DEFAULTS = {
+    'evacuations': None,
+    'evacuations_position': 0,
+    'evacuations_age_ms': -1,
+}
+
+
 def encode_message(message: Message) -> bytes:
     """Return a message as a datagram."""
-    fields = attrs.astuple(message, recurse=True)
+    fields = list(attrs.astuple(message, recurse=True))
+    for field in reversed(attrs.fields(type(message))):
+        if field.name not in _OMITTED_DEFAULTS:
+            break
+        if fields[-1] != _OMITTED_DEFAULTS[field.name]:
+            break
+        fields.pop()
     return cbor2.dumps((_KIND_NUMBERS[type(message)], *fields))
 
 
@@ -190,12 +210,15 @@
     'suspects': int,
     'removed': str,
     'wanted': int,
+    'evacuations': str,
 }
+# Fields for which None is a value of its own.
+_NULLABLE = ('loads', 'evacuations')
 _SCALAR_TYPES = (str, int, bool, bytes, float)
 
 
 def _convert(field: attrs.Attribute, value: typing.Any) -> typing.Any:
-    if field.name == 'loads' and value is None:
+    if field.name in _NULLABLE and value is None:
         return None
     if field.name in _ITEM_TYPES:
         return tuple(
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/reader.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/reader.py
@@ -1,4 +1,4 @@
-"""Reads routes and upstreams from the store, with few calls per fleet.
+"""Reads the platform's store, with few calls per fleet.
 
 Calls cost money, so usually one VM of the fleet makes them: the live VM of
 the lowest rank watches the store, and the others get changes from it. If that
@@ -7,11 +7,13 @@
 """
 
 import asyncio
+import math
 import random
 import typing
 
 from _savoryhaven import errors
 from _savoryhaven.knowledge import catalogue as catalogue_module
+from _savoryhaven.knowledge import evacuations as evacuations_module
 from _savoryhaven.knowledge import gossip as gossip_module
 from _savoryhaven.knowledge import positions
 from _savoryhaven.knowledge import records
@@ -63,7 +65,10 @@
 
 
 class StoreReader:
-    """Keeps routes and upstreams up to date with the store."""
+    """Keeps routes, upstreams and evacuations up to date with the store.
+
+    Without ``evacuations`` the store is not asked for them.
+    """
 
     def __init__(
         self,
@@ -76,11 +81,13 @@
         counters: counters_module.Counters,
         events: events_module.EventLog,
         source: random.Random,
+        evacuations: evacuations_module.Evacuations | None = None,
     ) -> None:
         self._store = store
         self._clock: typing.Final = clock
         self._routes: typing.Final = routes
         self._catalogue: typing.Final = catalogue
+        self._evacuations: typing.Final = evacuations
         self._gossip: typing.Final = gossip
         self._counters: typing.Final = counters
         self._events: typing.Final = events
@@ -105,6 +112,20 @@
             await self._wait_until_due(lambda: self._catalogue.confirmed_at)
             await self._read_once(self._read_upstreams)
 
+    async def run_evacuations(self) -> None:
+        """Read the evacuated failure domains until cancelled."""
+        evacuations = self._evacuations
+        while True:
+            # What is too large for heartbeats each VM reads all the time.
+            await self._wait_until_due(
+                lambda: (
+                    -math.inf
+                    if evacuations.is_oversized
+                    else evacuations.confirmed_at
+                )
+            )
+            await self._read_once(self._read_evacuations)
+
     def is_due(self, confirmed_at: float, now: float) -> bool:
         """Return whether this VM has to read the store itself."""
         rank = self._gossip.members.compute_rank(now)
@@ -313,13 +334,9 @@
     ) -> None:
         now = self._clock.read_monotonic()
         if snapshot.revision < self._catalogue.revision:
-            self._events.emit(
-                'store_answer_ignored',
-                reason='older than the known revision',
-                revision=snapshot.revision,
-                known=self._catalogue.revision,
+            await self._ignore_older(
+                snapshot.revision, self._catalogue.revision
             )
-            await asyncio.sleep(WATCH_S)
             return
         self._log_era(self._catalogue.revision, snapshot.revision)
         self._catalogue.confirm(requested_at, now)
@@ -329,6 +346,59 @@
             self._gossip.log_changes(applied, 'store', now)
             self._gossip.announce_state(now)
 
+    async def _read_evacuations(self) -> None:
+        requested_at = self._clock.read_monotonic()
+        known = self._evacuations.position
+        if not known:
+            await self._list_evacuations(requested_at)
+            return
+        wait_s = _choose_watch_s(self._evacuations.confirmed_at, requested_at)
+        try:
+            changes = await self._store.watch_evacuations(
+                known, wait_s, WATCH_S + ANSWER_MARGIN_S
+            )
+        except errors.HistoryGoneError:
+            self._log_history_gone('evacuations')
+            await self._list_evacuations(self._clock.read_monotonic())
+            return
+        now = self._clock.read_monotonic()
+        changed = bool(changes.added or changes.removed)
+        self._report_skipped(changes.skipped)
+        applied = self._evacuations.apply_changes(
+            changes,
+            confirmed_at=_compute_confirmed_at(
+                requested_at, now, changed=changed, wait_s=wait_s
+            ),
+            now=now,
+        )
+        if applied:
+            self._gossip.announce_state(now)
+        if changed:
+            await asyncio.sleep(CHANGE_PAUSE_S)
+
+    async def _list_evacuations(self, requested_at: float) -> None:
+        snapshot = await self._store.list_evacuations(READ_TIMEOUT_S)
+        now = self._clock.read_monotonic()
+        known = self._evacuations.position
+        if snapshot.revision < known:
+            await self._ignore_older(snapshot.revision, known)
+            return
+        self._report_skipped(snapshot.skipped)
+        if self._evacuations.apply_snapshot(
+            snapshot, confirmed_at=requested_at, now=now
+        ):
+            self._gossip.announce_state(now)
+
+    async def _ignore_older(self, revision: int, known: int) -> None:
+        """Log a list that is older than what is known, and wait."""
+        self._events.emit(
+            'store_answer_ignored',
+            reason='older than the known revision',
+            revision=revision,
+            known=known,
+        )
+        await asyncio.sleep(WATCH_S)
+
     def _log_behind(self, version: int) -> None:
         """Log that the store has an older version than is in force."""
         if version < self._routes.version:
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/records.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/records.py
@@ -156,6 +156,29 @@
     skipped: tuple[SkippedEntry, ...] = ()
 
 
+@attrs.frozen(kw_only=True, repr=False)
+class EvacuationSnapshot:
+    """All evacuated failure domains as of a store revision."""
+
+    revision: int
+    domains: tuple[str, ...]
+    skipped: tuple[SkippedEntry, ...] = ()
+
+
+@attrs.frozen(kw_only=True, repr=False)
+class EvacuationChanges:
+    """Changes of evacuated failure domains between two store revisions.
+
+    Each domain that was written or removed is named once, with its last state.
+    """
+
+    since: int
+    revision: int
+    added: tuple[str, ...] = ()
+    removed: tuple[str, ...] = ()
+    skipped: tuple[SkippedEntry, ...] = ()
+
+
 @attrs.frozen(kw_only=True, repr=False)
 class ConfigurationChange:
     """The configuration as of a store revision, None if unchanged."""
--- a/packages/savoryhaven/src/_savoryhaven/operation/node.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/node.py
@@ -13,6 +13,7 @@
 from _savoryhaven import errors
 from _savoryhaven import hooks
 from _savoryhaven.knowledge import catalogue as catalogue_module
+from _savoryhaven.knowledge import evacuations as evacuations_module
 from _savoryhaven.knowledge import gossip as gossip_module
 from _savoryhaven.knowledge import members as members_module
 from _savoryhaven.knowledge import reader as reader_module
@@ -89,6 +90,15 @@
         self.catalogue: typing.Final = catalogue_module.Catalogue(
             platform.codec
         )
+        self.evacuations: typing.Final = (
+            evacuations_module.Evacuations(
+                catalogue=self.catalogue,
+                counters=self.counters,
+                events=self.events,
+            )
+            if settings.evacuation
+            else None
+        )
         address = addresses.parse_address(settings.data_address)
         self._address: typing.Final = address
         self.members: typing.Final = members_module.Members(
@@ -105,6 +115,7 @@
             counters=self.counters,
             events=self.events,
             source=source,
+            evacuations=self.evacuations,
         )
         self.gossip: typing.Final = gossip_module.Gossip(
             members=self.members,
@@ -117,6 +128,7 @@
             counters=self.counters,
             events=self.events,
             source=source,
+            evacuations=self.evacuations,
         )
         self.reader: typing.Final = reader_module.StoreReader(
             store=platform.open_store(settings.store),
@@ -127,6 +139,7 @@
             counters=self.counters,
             events=self.events,
             source=source,
+            evacuations=self.evacuations,
         )
 
     def read_time(self) -> float:
@@ -140,15 +153,18 @@
     def is_ready(self) -> bool:
         """Return whether the fabric may send packets here.
 
-        Routes and upstreams have to be confirmed after the start of the
-        process. If neither the store nor peers confirm them within
-        ``UNCONFIRMED_MAX_S``, those that the peers had are used.
+        Routes, upstreams and evacuated domains have to be confirmed after the
+        start of the process. If neither the store nor peers confirm them
+        within ``UNCONFIRMED_MAX_S``, those that the peers had are used; if
+        nobody knows evacuated domains, none is excluded.
         """
         if self.stopping or self.routes.current is None:
             return False
         if not self.catalogue.revision:
             return False
         oldest = min(self.routes.confirmed_at, self.catalogue.confirmed_at)
+        if self.evacuations is not None:
+            oldest = min(oldest, self.evacuations.confirmed_at)
         waited_s = self.read_time() - self._started_at
         return oldest >= self._started_at or waited_s > UNCONFIRMED_MAX_S
 
@@ -173,14 +189,17 @@
             seeds=list(self.settings.peers.seeds),
         )
         self._tasks.append(asyncio.create_task(self._read_when_informed()))
-        for work in (
+        works = [
             self._run_heartbeats,
             self.reader.run_configuration,
             self.reader.run_upstreams,
             self._run_sweeps,
             self._run_flushes,
             self._run_settings_watch,
-        ):
+        ]
+        if self.evacuations is not None:
+            works.append(self.reader.run_evacuations)
+        for work in works:
             self._tasks.append(asyncio.create_task(self._supervise(work)))
         operator_server = http.PageServer(
             pages.OperatorPages(self).handle, self._report_page_error
@@ -273,7 +292,7 @@
                 await asyncio.sleep(TASK_RESTART_DELAY_S)
 
     async def _read_when_informed(self) -> None:
-        """Start reading packets once routes and upstreams are known."""
+        """Start reading packets once the VM knows how to handle them."""
         while not self._is_informed():
             if self.read_age(self._started_at) > INFORMED_MAX_S:
                 break
@@ -281,7 +300,11 @@
         self._data.start_reading()
 
     def _is_informed(self) -> bool:
-        return bool(self.routes.version and self.catalogue.revision)
+        if not self.routes.version or not self.catalogue.revision:
+            return False
+        if self.evacuations is None or self.evacuations.known:
+            return True
+        return self.read_age(self._started_at) > UNCONFIRMED_MAX_S
 
     async def _run_heartbeats(self) -> None:
         was_ready = False
@@ -292,6 +315,8 @@
                 self._log_readiness(ready)
                 was_ready = ready
             self.gossip.ready = ready
+            if ready and self.evacuations is not None:
+                self.evacuations.note_serving(now)
             seeds = [
                 addresses.parse_address(seed).host
                 for seed in self.settings.peers.seeds
@@ -332,6 +357,8 @@
             now = self.read_time()
             self.forwarder.expire(now)
             self.gossip.expire_members(now)
+            if self.evacuations is not None:
+                self.evacuations.expire(now)
             for upstream in self.catalogue.expire(now):
                 self.events.emit(
                     'lapse_ended',
@@ -370,7 +397,12 @@
             return
         need_restart = [
             name
-            for name in ('vm_id', 'failure_domain', 'data_address')
+            for name in (
+                'vm_id',
+                'failure_domain',
+                'data_address',
+                'evacuation',
+            )
             if getattr(loaded, name) != getattr(self.settings, name)
         ]
         store_moved = loaded.store != self.settings.store
--- a/packages/savoryhaven/src/_savoryhaven/placement/selection.py
+++ b/packages/savoryhaven/src/_savoryhaven/placement/selection.py
@@ -42,11 +42,16 @@
 
 @attrs.frozen(kw_only=True, eq=False, repr=False)
 class ChoiceContext:
-    """Inputs of a choice besides the candidates."""
+    """Inputs of a choice besides the candidates.
+
+    ``excluded`` are tags of upstreams that are a last resort. Upstreams in
+    ``excluded_domains`` are never chosen.
+    """
 
     now: float
     failure_domain: str
     excluded: frozenset[int] = frozenset()
+    excluded_domains: frozenset[str] = frozenset()
     source: random.Random = attrs.field(factory=random.Random)
 
 
@@ -66,7 +71,12 @@
     reason: str
 
 
-Choice = Chosen | NoUpstream
+@attrs.frozen(eq=False, repr=False)
+class AllEvacuated:
+    """All upstreams that could serve the flow are in excluded domains."""
+
+
+Choice = Chosen | NoUpstream | AllEvacuated
 
 
 def choose_upstream(
@@ -81,6 +91,14 @@
     usable = [state for state in states if takes_new_flows(state)]
     if not usable:
         return NoUpstream('no upstream is known')
+    if context.excluded_domains:
+        usable = [
+            state
+            for state in usable
+            if state.upstream.failure_domain not in context.excluded_domains
+        ]
+        if not usable:
+            return AllEvacuated()
     now = context.now
     fresh = [
         state for state in usable if state.upstream.tag not in context.excluded
