--- a/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/store.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/store.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import copy as copy_module
 import enum
 import typing
@@ -13,6 +14,8 @@
 import attrs
 
 HISTORY_EVENTS = 1_000
+# More objects than the tests of whole sites have.
+PAGE_SIZE = 1_000
 # In all answers: how often the store came back from a copy, plus one.
 ERA_HEADER = 'Store-Era'
 
@@ -59,6 +62,10 @@
         self.slow_s = SLOW_S
         self.mode = Mode.UP
         self.calls = 0
+        # Calls by kind of object.
+        self.calls_by_kind: collections.Counter[str] = collections.Counter()
+        # Objects in a page of a list.
+        self.page_size = PAGE_SIZE
         # Tests also set what no store should send; None sends no header.
         self.era: typing.Any = 1
         self._revision = 1
@@ -146,11 +153,20 @@
             case Mode.SLOW:
                 await asyncio.sleep(self.slow_s)
         kind = request.match_info['kind']
+        self.calls_by_kind[kind] += 1
         if 'watch' in request.query:
             return await self._watch(kind, request.query)
         items = list(self._objects.get(kind, {}).values())
+        after = request.query.get('after')
+        if after is not None:
+            names = [item['meta']['name'] for item in items]
+            items = items[names.index(after) + 1 :]
         return web.json_response(
-            {'items': items, 'has_more': False, 'at': self._revision}
+            {
+                'items': items[: self.page_size],
+                'has_more': len(items) > self.page_size,
+                'at': self._revision,
+            }
         )
 
     async def _watch(
