Configuration: services with their cold start time and rate

Cold upstreams may get as many openings as their service bears while cold. The decoder ignored the list of services.

--- a/packages/savoryhaven/src/_savoryhaven/knowledge/records.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/records.py
@@ -67,10 +67,24 @@
         return frozenset(backend.service for backend in self.backends)
 
 
+@attrs.frozen(repr=False)
+class Service:
+    """What the upstreams of a service bear while they are cold.
+
+    They are cold for ``cold_start_s`` after their start, and bear
+    ``cold_per_s`` openings per second in that time.
+    """
+
+    name: str
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
+
+
 @attrs.frozen(kw_only=True, repr=False)
 class Finding:
     """A field of a configuration that can't be read.
 
+    ``route`` is the name of the route or service that has the field.
     ``left_out`` is whether the whole route is left out because of it;
     otherwise the field has its default. ``value`` is the start of its text.
     """
@@ -94,6 +108,7 @@
     idle_timeout_s: float
     document: bytes = attrs.field(repr=False)
     findings: tuple[Finding, ...] = ()
+    services: typing.Mapping[str, Service] = attrs.field(factory=dict)
 
 
 @attrs.frozen(kw_only=True, repr=False)
