--- a/packages/savoryhaven/src/_savoryhaven/operation/counters.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/counters.py
@@ -19,6 +19,8 @@
     REPEATED = 'copies of openings sent to the same upstream'
     MOVED = 'copies of openings sent to a further upstream'
     REFUSED = 'openings reset: no route, or no upstream for it'
+    REFUSED_COLD = 'openings reset: all upstreams of their service are cold'
+    COLD_WITHHELD = 'openings for which a cold upstream was left out'
     RESET = 'open flows reset: their upstream has ended'
     ANSWERED = 'requests whose answers clients acknowledged'
     SHORT_ANSWERS = 'answers much shorter than usual: perhaps errors'
