Datapath: leave cold upstreams out of choices if the setting is on

The forwarder asks the slow start for the candidates of an opening and reports each opening that is sent to a further upstream. Copies to an upstream that was tried are neither counted nor refused.

--- a/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
@@ -19,6 +19,8 @@
 from _savoryhaven.knowledge import routes as routes_module
 from _savoryhaven.operation import counters as counters_module
 from _savoryhaven.operation import events as events_module
+from _savoryhaven.operation import settings as settings_module
+from _savoryhaven.placement import slow_start as slow_start_module
 from _savoryhaven.placement import upstreams
 
 SERVICE_HOST = 0xC6120001
@@ -120,7 +122,9 @@
 
 
 def make_configuration(
-    version: int = 1, routes: typing.Iterable[records.Route] | None = None
+    version: int = 1,
+    routes: typing.Iterable[records.Route] | None = None,
+    services: typing.Iterable[records.Service] = (),
 ) -> records.RoutingConfiguration:
     """Return a configuration with routes to ``desk`` and ``vault``."""
     if routes is None:
@@ -130,6 +134,7 @@
         routes={route.destination: route for route in routes},
         idle_timeout_s=15.0,
         document=json.dumps({'version': version}).encode(),
+        services={service.name: service for service in services},
     )
 
 
@@ -150,7 +155,11 @@
 
 
 class Vm:
-    """The datapath of one VM, with a record of what it sent."""
+    """The datapath of one VM, with a record of what it sent.
+
+    ``live_vm_ids`` are the VMs that it believes to be live; they matter only
+    with ``cold_start``. Its own id is ``vm``.
+    """
 
     def __init__(
         self,
@@ -158,6 +167,8 @@
         failure_domain: str = 'a',
         seed: int = 1,
         clock: typing.Any = None,
+        cold_start: settings_module.ColdStartSettings | None = None,
+        live_vm_ids: frozenset[str] = frozenset({'vm'}),
     ) -> None:
         self.clock = clock or ManualClock()
         self.codec = JsonCodec()
@@ -170,6 +181,20 @@
         self.sent: list[tuple[bytes, tuple[str, int]]] = []
         self.resets: list[packets.FlowKey] = []
         self.requested_tags: list[int] = []
+        self.live_vm_ids = live_vm_ids
+        self.slow_start = None
+        limits = None
+        if cold_start is not None:
+            self.slow_start = slow_start_module.SlowStart(
+                'vm',
+                cold_start,
+                counters=self.counters,
+                events=self.events,
+                source=random.Random(seed),
+            )
+            limits = forwarder_module.ColdStart(
+                self.slow_start, lambda now: self.live_vm_ids
+            )
         self.forwarder = forwarder_module.Forwarder(
             codec=self.codec,
             routes=self.routes,
@@ -183,6 +208,7 @@
             counters=self.counters,
             events=self.events,
             source=random.Random(seed),
+            cold_start=limits,
         )
 
     def _record_requested_tag(self, tag: int, now: float) -> None:
--- a/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
@@ -21,6 +21,7 @@
 from _savoryhaven.placement import admission
 from _savoryhaven.placement import answers
 from _savoryhaven.placement import selection
+from _savoryhaven.placement import slow_start as slow_start_module
 from _savoryhaven.placement import upstreams
 
 # An unknown route is refused only if the configuration was confirmed within
@@ -58,6 +59,14 @@
     request_tag: typing.Callable[[int, float], None]
 
 
+@attrs.frozen(eq=False, repr=False)
+class ColdStart:
+    """The limits of cold upstreams, and the live VMs that share them."""
+
+    slow_start: slow_start_module.SlowStart
+    list_live_ids: typing.Callable[[float], frozenset[str]]
+
+
 class Forwarder:
     """Handles each packet that a VM gets from clients."""
 
@@ -72,6 +81,7 @@
         counters: counters_module.Counters,
         events: events_module.EventLog,
         source: random.Random,
+        cold_start: ColdStart | None = None,
     ) -> None:
         self._codec: typing.Final = codec
         self._routes: typing.Final = routes
@@ -81,6 +91,7 @@
         self._counters: typing.Final = counters
         self._events: typing.Final = events
         self._random: typing.Final = source
+        self._cold_start: typing.Final = cold_start
         self.flows: typing.Final = flows_module.FlowTable(FLOW_LIMIT)
         self.openings: typing.Final = openings_module.Openings(OPENING_LIMIT)
         self._service_times: dict[records.Destination, admission.ServiceTime]
@@ -302,8 +313,9 @@
         if opening is not None:
             opening.state.note_failure(opening.sent_at, now)
             excluded = opening.tried_tags
+        states = self._catalogue.list_service(service)
         choice = selection.choose_upstream(
-            self._catalogue.list_service(service),
+            self._leave_out_cold(states, excluded, now),
             selection.ChoiceContext(
                 now=now,
                 failure_domain=self._failure_domain,
@@ -315,8 +327,29 @@
             case selection.Chosen():
                 self._admit(packet, route, choice, opening, now)
             case selection.NoUpstream(reason):
+                if any(selection.takes_new_flows(s) for s in states):
+                    reason = 'all upstreams are cold'
+                    self._counters[_Count.REFUSED_COLD] += 1
                 self._decide_without_upstream(packet, service, reason, now)
 
+    def _leave_out_cold(
+        self,
+        states: list[upstreams.UpstreamState],
+        tried: frozenset[int],
+        now: float,
+    ) -> list[upstreams.UpstreamState]:
+        """Return the upstreams that may get an opening now."""
+        current = self._routes.current
+        if self._cold_start is None or current is None:
+            return states
+        return self._cold_start.slow_start.filter(
+            states,
+            now,
+            current.services,
+            self._cold_start.list_live_ids(now),
+            tried=tried,
+        )
+
     def _admit(
         self,
         packet: packets.FlowPacket,
@@ -365,6 +398,10 @@
         now: float,
     ) -> None:
         state = choice.state
+        if self._cold_start is not None and (
+            opening is None or state not in opening.tried
+        ):
+            self._cold_start.slow_start.note_opening(state, now)
         if opening is None:
             self.flows.remove(packet.key, now)
             self.openings.start(packet.key, state, now)
--- a/packages/savoryhaven/src/_savoryhaven/operation/node.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/node.py
@@ -25,6 +25,7 @@
 from _savoryhaven.operation import settings as settings_module
 from _savoryhaven.operation import sockets
 from _savoryhaven.operation import stops
+from _savoryhaven.placement import slow_start as slow_start_module
 
 # Heartbeat interval of a VM that has no routes or upstreams yet.
 JOIN_INTERVAL_S = 0.1
@@ -94,6 +95,10 @@
         self.members: typing.Final = members_module.Members(
             settings.vm_id, address.host, link_mbps=settings.link_mbps
         )
+        self.fleet: typing.Final = slow_start_module.FleetView(
+            self.members, self._started_at
+        )
+        self.slow_start: typing.Final = self._make_slow_start(source)
         self.forwarder: typing.Final = forwarder_module.Forwarder(
             codec=platform.codec,
             routes=self.routes,
@@ -105,6 +110,7 @@
             counters=self.counters,
             events=self.events,
             source=source,
+            cold_start=self._make_cold_start(),
         )
         self.gossip: typing.Final = gossip_module.Gossip(
             members=self.members,
@@ -129,6 +135,26 @@
             source=source,
         )
 
+    def _make_slow_start(
+        self, source: random.Random
+    ) -> slow_start_module.SlowStart | None:
+        if self.settings.cold_start is None:
+            return None
+        return slow_start_module.SlowStart(
+            self.settings.vm_id,
+            self.settings.cold_start,
+            counters=self.counters,
+            events=self.events,
+            source=source,
+        )
+
+    def _make_cold_start(self) -> forwarder_module.ColdStart | None:
+        if self.slow_start is None:
+            return None
+        return forwarder_module.ColdStart(
+            self.slow_start, self.fleet.list_live_ids
+        )
+
     def read_time(self) -> float:
         """Return the time of the VM's clock, in seconds."""
         return self._clock.read_monotonic()
@@ -338,6 +364,17 @@
                     upstream=upstream.upstream_id,
                     catalogue_revision=self.catalogue.revision,
                 )
+            self._update_slow_start(now)
+
+    def _update_slow_start(self, now: float) -> None:
+        current = self.routes.current
+        if self.slow_start is None or current is None:
+            return
+        # Also called without openings, so that the view notices pauses.
+        self.fleet.list_live_ids(now)
+        self.slow_start.update(
+            self.catalogue.list_states(), now, current.services
+        )
 
     async def _run_flushes(self) -> None:
         await asyncio.sleep(LOG_DELAY_S)
--- a/packages/savoryhaven/tests/test_forwarder.py
+++ b/packages/savoryhaven/tests/test_forwarder.py
@@ -2,7 +2,9 @@
 
 import json
 
+from _savoryhaven.knowledge import records
 from _savoryhaven.operation import counters
+from _savoryhaven.operation import settings
 from savoryhaven_standins import tagged
 
 Count = counters.Count
@@ -345,3 +347,110 @@
     vm.forwarder.expire(vm.clock.now)
     assert state.outstanding == 0
     assert state.lasting_load > 0
+
+
+def make_cold_vm(
+    *upstreams: int, warm: tuple[int, ...] = (), **changes: float
+) -> tagged.Vm:
+    """Return a VM, alone in its fleet, that knows cold upstreams."""
+    vm = tagged.Vm(cold_start=settings.ColdStartSettings(**changes))
+    vm.learn(
+        [
+            *(tagged.make_upstream(n, warm_up_s=30.0) for n in upstreams),
+            *(tagged.make_upstream(n) for n in warm),
+        ]
+    )
+    return vm
+
+
+def list_hosts(vm: tagged.Vm) -> list[str]:
+    """Return the hosts that packets were sent to since the last call."""
+    return [host for _, (host, _) in vm.take_sent()]
+
+
+def test_openings_are_refused_at_once_if_all_upstreams_are_cold() -> None:
+    vm = make_cold_vm(1, 2)
+    for port in range(1, 11):
+        vm.receive(tagged.make_packet(port))
+    # A third of the bound of 5 openings in a second, for each upstream.
+    assert sorted(list_hosts(vm)) == ['10.9.0.1', '10.9.0.2']
+    assert len(vm.resets) == 8
+    assert vm.counters[Count.REFUSED] == 8
+    assert vm.counters[Count.REFUSED_COLD] == 8
+    assert vm.counters[Count.COLD_WITHHELD] == 9
+    vm.clock.now += 1.2
+    vm.receive(tagged.make_packet(20))
+    assert len(vm.take_sent()) == 1
+
+
+def test_a_cold_upstream_gets_no_more_than_its_share() -> None:
+    vm = make_cold_vm(1, warm=(2,))
+    for port in range(1, 41):
+        vm.receive(tagged.make_packet(port))
+    hosts = list_hosts(vm)
+    assert hosts.count('10.9.0.1') == 1
+    assert hosts.count('10.9.0.2') == 39
+    assert not vm.resets
+
+
+def test_copies_to_the_same_cold_upstream_are_neither_counted_nor_refused(
+) -> None:  # fmt: skip
+    """Its flow may be open already, so a reset would end it."""
+    vm = make_cold_vm(1, slack=8.0)
+    share = 2
+    # An early copy, and those that follow the answer timeout.
+    for wait in (0.05, 0.15, 0.4, 0.4):
+        vm.receive(tagged.make_packet(1))
+        vm.clock.now += wait
+    assert len(list_hosts(vm)) == 4
+    assert not vm.resets
+    vm.clock.now = 1_000.9
+    for port in range(2, 10):
+        vm.receive(tagged.make_packet(port))
+    assert len(list_hosts(vm)) == share - 1
+
+
+def test_a_copy_that_moves_to_a_cold_upstream_counts_as_an_opening() -> None:
+    vm = make_cold_vm(1, 2)
+    vm.receive(tagged.make_packet(1))
+    vm.clock.now += 0.2
+    vm.receive(tagged.make_packet(1))
+    assert sorted(list_hosts(vm)) == ['10.9.0.1', '10.9.0.2']
+    assert vm.counters[Count.MOVED] == 1
+    vm.receive(tagged.make_packet(2))
+    assert not vm.take_sent()
+    assert len(vm.resets) == 1
+
+
+def test_packets_of_open_flows_go_on_to_a_cold_upstream() -> None:
+    vm = make_cold_vm(1)
+    tag = open_flow(vm)
+    for step in range(20):
+        vm.receive(
+            tagged.make_packet(tag=tag, sequence=102 + step, payload_bytes=1)
+        )
+    assert len(vm.take_sent()) == 20
+    assert not vm.resets
+
+
+def test_cold_upstreams_get_openings_as_before_without_the_setting() -> None:
+    vm = tagged.Vm()
+    vm.learn([tagged.make_upstream(1, warm_up_s=30.0)])
+    for port in range(1, 41):
+        vm.receive(tagged.make_packet(port))
+    assert len(vm.take_sent()) == 40
+    assert not vm.resets
+
+
+def test_openings_of_a_service_with_a_cold_rate_use_it() -> None:
+    vm = make_cold_vm(1)
+    service = records.Service('desk', 2.0, cold_per_s=20.0)
+    vm.learn(
+        [tagged.make_upstream(1, warm_up_s=30.0)],
+        revision=101,
+        configuration=tagged.make_configuration(2, services=[service]),
+    )
+    for port in range(1, 61):
+        vm.receive(tagged.make_packet(port))
+    # A third of 20 x 1.5 + 5.
+    assert len(vm.take_sent()) == 11
