--- a/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
@@ -22,6 +22,7 @@
 from _savoryhaven.placement import admission
 from _savoryhaven.placement import answers
 from _savoryhaven.placement import selection
+from _savoryhaven.placement import slow_start as slow_start_module
 from _savoryhaven.placement import upstreams
 
 # An unknown route is refused only if the configuration was confirmed within
@@ -59,6 +60,14 @@
     request_tag: typing.Callable[[int, float], None]
 
 
+@attrs.frozen(eq=False, repr=False)
+class ColdStart:
+    """The limits of cold upstreams, and the live VMs that share them."""
+
+    slow_start: slow_start_module.SlowStart
+    list_live_ids: typing.Callable[[float], frozenset[str]]
+
+
 class Forwarder:
     """Handles each packet that a VM gets from clients."""
 
@@ -74,6 +83,7 @@
         events: events_module.EventLog,
         source: random.Random,
         evacuations: evacuations_module.Evacuations | None = None,
+        cold_start: ColdStart | None = None,
     ) -> None:
         self._codec: typing.Final = codec
         self._routes: typing.Final = routes
@@ -84,6 +94,7 @@
         self._counters: typing.Final = counters
         self._events: typing.Final = events
         self._random: typing.Final = source
+        self._cold_start: typing.Final = cold_start
         self.flows: typing.Final = flows_module.FlowTable(FLOW_LIMIT)
         self.openings: typing.Final = openings_module.Openings(OPENING_LIMIT)
         self._service_times: dict[records.Destination, admission.ServiceTime]
@@ -312,8 +323,9 @@
             if overdue:
                 opening.state.note_failure(opening.sent_at, now)
             excluded = opening.tried_tags
+        states = self._catalogue.list_service(service)
         choice = selection.choose_upstream(
-            self._catalogue.list_service(service),
+            self._leave_out_cold(states, evacuated, excluded, now),
             selection.ChoiceContext(
                 now=now,
                 failure_domain=self._failure_domain,
@@ -326,6 +338,9 @@
             case selection.Chosen():
                 self._admit(packet, route, choice, opening, now)
             case selection.NoUpstream(reason):
+                if any(selection.takes_new_flows(s) for s in states):
+                    reason = 'all upstreams are cold'
+                    self._counters[_Count.REFUSED_COLD] += 1
                 self._decide_without_upstream(packet, service, reason, now)
             case selection.AllEvacuated():
                 awaits_answer = opening is not None and not overdue
@@ -362,6 +377,39 @@
             now,
         )
 
+    def _leave_out_cold(
+        self,
+        states: list[upstreams.UpstreamState],
+        evacuated: frozenset[str],
+        tried: frozenset[int],
+        now: float,
+    ) -> list[upstreams.UpstreamState]:
+        """Return the upstreams that may get an opening now.
+
+        Warm upstreams in evacuated domains do not count: a VM that took them
+        for an alternative would keep all openings from the cold ones.
+        """
+        current = self._routes.current
+        if self._cold_start is None or current is None:
+            return states
+        if evacuated:
+            available = [
+                state
+                for state in states
+                if state.upstream.failure_domain not in evacuated
+                and selection.takes_new_flows(state)
+            ]
+            if not available:
+                return states
+            states = available
+        return self._cold_start.slow_start.filter(
+            states,
+            now,
+            current.services,
+            self._cold_start.list_live_ids(now),
+            tried=tried,
+        )
+
     def _admit(
         self,
         packet: packets.FlowPacket,
@@ -410,6 +458,10 @@
         now: float,
     ) -> None:
         state = choice.state
+        if self._cold_start is not None and (
+            opening is None or state not in opening.tried
+        ):
+            self._cold_start.slow_start.note_opening(state, now)
         if opening is None:
             self.flows.remove(packet.key, now)
             self.openings.start(packet.key, state, now)
--- a/packages/savoryhaven/tests/test_evacuations.py
+++ b/packages/savoryhaven/tests/test_evacuations.py
@@ -14,6 +14,7 @@
 from _savoryhaven.knowledge import positions
 from _savoryhaven.knowledge import records
 from _savoryhaven.operation import counters
+from _savoryhaven.operation import settings
 from _savoryhaven.placement import upstreams
 from savoryhaven_standins import tagged
 
@@ -474,3 +475,26 @@
     vm.receive(tagged.make_packet(2))
     ((raw, _),) = vm.take_sent()
     assert json.loads(raw[8:])['tag'] == 1
+
+
+# Guards against openings that are kept from cold upstreams because of warm
+# ones that no opening may go to.
+def test_warm_upstreams_of_an_evacuated_domain_are_no_alternative() -> None:
+    vm = tagged.Vm(
+        evacuation=True,
+        cold_start=settings.ColdStartSettings(),
+        live_vm_ids=frozenset({'vm', *(f'vm-{n}' for n in range(3))}),
+    )
+    cold = [
+        tagged.make_upstream(n, failure_domain='b', warm_up_s=30.0)
+        for n in range(2, 42)
+    ]
+    vm.learn([tagged.make_upstream(1, failure_domain='a'), *cold])
+    learn(vm, 100, 'a')
+    for port in range(1, 101):
+        vm.receive(tagged.make_packet(port))
+    hosts = {host for _, (host, _) in vm.take_sent()}
+    # This VM is designated for a quarter of the cold upstreams.
+    assert len(hosts) > 20 and '10.9.0.1' not in hosts
+    assert vm.counters[Count.REFUSED_COLD] > 0
+    assert vm.counters[Count.REFUSED_EVACUATED] == 0
