--- a/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
@@ -15,17 +15,21 @@
 from _savoryhaven.knowledge import evacuations as evacuations_module
 from _savoryhaven.knowledge import gossip as gossip_module
 from _savoryhaven.knowledge import members as members_module
+from _savoryhaven.knowledge import positions
 from _savoryhaven.knowledge import reader as reader_module
 from _savoryhaven.knowledge import records
 from _savoryhaven.knowledge import routes as routes_module
 from _savoryhaven.operation import counters as counters_module
 from _savoryhaven.operation import events as events_module
 from _savoryhaven.placement import upstreams
+from savoryhaven_standins.fakes import loop as fakes
 
 SERVICE_HOST = 0xC6120001
 DESK_PORT = 443
 VAULT_PORT = 8443
 CLIENT_HOST = 0x64400007
+# Delay of datagrams in a ``Fleet``.
+TICK_S = 0.05
 
 
 @typing.final
@@ -430,6 +434,9 @@
     # Delay of list calls; if set, watches wait for their whole ``wait_s``.
     delay_s: float = 0.0
     calls: list[str] = attrs.field(factory=list)
+    # The evacuated domains, and the last change of each domain.
+    evacuations: set[str] = attrs.field(factory=set)
+    _evacuation_changes: dict[str, int] = attrs.field(factory=dict)
 
     def _record_call(self, call: str) -> None:
         self.calls.append(call)
@@ -499,3 +506,209 @@
         return records.UpstreamChanges(
             since=revision, revision=self.revision, present=self.upstreams
         )
+
+    def evacuate(self, domain: str) -> None:
+        """Write the object that evacuates a failure domain."""
+        self.evacuations.add(domain)
+        self._note_evacuation(domain)
+
+    def restore_domain(self, domain: str) -> None:
+        """Remove the object that evacuates a failure domain."""
+        self.evacuations.discard(domain)
+        self._note_evacuation(domain)
+
+    def _note_evacuation(self, domain: str) -> None:
+        self.revision += 1
+        self._evacuation_changes[domain] = self.revision
+
+    def come_back(
+        self, revision: int, evacuations: typing.Iterable[str] = ()
+    ) -> None:
+        """Go back to an older copy, in a later era."""
+        self.revision = revision
+        self.evacuations = set(evacuations)
+        self._evacuation_changes.clear()
+
+    async def list_evacuations(
+        self, timeout_s: float
+    ) -> records.EvacuationSnapshot:
+        """Return the evacuated domains."""
+        self._record_call('list_evacuations')
+        return records.EvacuationSnapshot(
+            revision=self.revision, domains=tuple(sorted(self.evacuations))
+        )
+
+    async def watch_evacuations(
+        self, position: int, wait_s: float, timeout_s: float
+    ) -> records.EvacuationChanges:
+        """Return changes, or none after the whole ``wait_s``."""
+        self._record_call('watch_evacuations')
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + wait_s
+        while True:
+            self._check_history()
+            if positions.get_era(position) < positions.get_era(self.revision):
+                raise errors.HistoryGoneError(
+                    errors.Problem(code='SH304', message='another era')
+                )
+            changed = [
+                domain
+                for domain, revision in self._evacuation_changes.items()
+                if revision > position
+            ]
+            if changed or loop.time() >= ends_at:
+                break
+            await asyncio.sleep(0.01)
+        return records.EvacuationChanges(
+            since=position,
+            revision=self.revision,
+            added=tuple(d for d in changed if d in self.evacuations),
+            removed=tuple(d for d in changed if d not in self.evacuations),
+        )
+
+
+@attrs.define(eq=False)
+class StoreLink:
+    """A VM's connection to a store; a call fails while it is ``cut``."""
+
+    store: Store
+    cut: bool = False
+
+    def __getattr__(self, name: str) -> typing.Callable:
+        """Return a method of the store."""
+
+        async def call(*arguments: typing.Any) -> typing.Any:
+            if not self.cut:
+                answer = await getattr(self.store, name)(*arguments)
+                if not self.cut:
+                    return answer
+            # The time-out is the last argument, except for pages of lists.
+            await asyncio.sleep(1.2)
+            raise errors.PlatformError(
+                errors.Problem(code='SH301', message='no connection')
+            )
+
+        return call
+
+
+class Fleet:
+    """VMs with evacuations that read one store, in virtual time.
+
+    Datagrams arrive at the next tick of 50 ms, and VMs send heartbeats at
+    different ticks.
+    """
+
+    def __init__(self, count: int) -> None:
+        self.network = Network()
+        self.store = Store(
+            upstreams=tuple(
+                make_upstream(number, failure_domain='ab'[number % 2])
+                for number in range(1, 5)
+            ),
+            delay_s=0.01,
+        )
+        self.links: dict[str, StoreLink] = {}
+        self._tasks: dict[str, list[asyncio.Task]] = {}
+        self._count = count
+        self._ticks = 0
+
+    async def __aenter__(self) -> 'Fleet':
+        """Start all VMs, and wait until they know each other."""
+        for number in range(1, self._count + 1):
+            self.start_vm(f'10.0.0.{number}')
+        await self.run(4.0)
+        return self
+
+    async def __aexit__(self, *failure: typing.Any) -> None:
+        """End the tasks of all VMs."""
+        for host in list(self._tasks):
+            self._end_tasks(host)
+
+    @property
+    def vms(self) -> list[Vm]:
+        """Return all VMs."""
+        return list(self.network.vms.values())
+
+    def start_vm(self, host: str) -> Vm:
+        """Start a VM, in place of an earlier one at its address."""
+        vm = Vm(clock=fakes.LoopClock(), evacuation=True)
+        vm.join(self.network, host)
+        self.links[host] = StoreLink(self.store)
+        vm.reader.replace_store(self.links[host])
+        self._end_tasks(host)
+        self._start_tasks(host)
+        return vm
+
+    def cut_off(self, *hosts: str) -> None:
+        """Cut VMs off from their peers and from the store."""
+        self.network.cut |= set(hosts)
+        for host in hosts:
+            self.links[host].cut = True
+
+    def reconnect(self) -> None:
+        """Connect all VMs again."""
+        self.network.cut.clear()
+        for link in self.links.values():
+            link.cut = False
+
+    def freeze(self, host: str) -> None:
+        """Suspend a VM; what is sent to it is lost."""
+        self.cut_off(host)
+        self._end_tasks(host)
+
+    def resume(self, host: str) -> None:
+        """Let a suspended VM go on."""
+        self.reconnect()
+        self._start_tasks(host)
+
+    def _start_tasks(self, host: str) -> None:
+        reader = self.network.vms[host].reader
+        self._tasks[host] = [
+            asyncio.create_task(work())
+            for work in (
+                reader.run_configuration,
+                reader.run_upstreams,
+                reader.run_evacuations,
+            )
+        ]
+
+    def _end_tasks(self, host: str) -> None:
+        for task in self._tasks.pop(host, ()):
+            task.cancel()
+
+    async def run(self, seconds: float) -> None:
+        """Let time pass."""
+        for _ in range(round(seconds / TICK_S)):
+            self.tick()
+            await asyncio.sleep(TICK_S)
+
+    def tick(self) -> None:
+        """Deliver datagrams, and let a part of the VMs send heartbeats."""
+        self._ticks += 1
+        now = asyncio.get_running_loop().time()
+        for number, (host, vm) in enumerate(self.network.vms.items()):
+            if host in self._tasks and (number + self._ticks) % 5 == 0:
+                seeds = [] if host == '10.0.0.1' else ['10.0.0.1']
+                vm.gossip.send_heartbeats(seeds, now)
+                vm.gossip.expire_members(now)
+                vm.evacuations.expire(now)
+        self.network.deliver()
+
+    async def measure(
+        self,
+        done: typing.Callable[[Vm], bool],
+        *,
+        limit_s: float,
+        vms: typing.Iterable[Vm] | None = None,
+    ) -> float:
+        """Return after how many seconds something is true for all VMs.
+
+        Raises ``AssertionError`` with the others after ``limit_s``.
+        """
+        waiting = list(self.vms if vms is None else vms)
+        for number in range(round(limit_s / TICK_S) + 1):
+            waiting = [vm for vm in waiting if not done(vm)]
+            if not waiting:
+                return number * TICK_S
+            await self.run(TICK_S)
+        raise AssertionError([vm.host for vm in waiting])
--- a/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/hosts.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/hosts.py
@@ -77,7 +77,7 @@
         self._slot_count = slots
         self._slots = asyncio.Semaphore(slots)
         self._work_s = work_s
-        self._zone = zone
+        self.zone = zone
         self._client_port = client_port
         self._store = store
         self._observations = observations
@@ -111,7 +111,7 @@
             {
                 'service': self.service,
                 'address': f'{host}:{port}',
-                'zone': self._zone,
+                'zone': self.zone,
                 'version': 'v1',
                 'capacity_slots': self._slot_count,
                 'state': 'draining' if draining else 'ready',
--- a/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/site.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/site.py
@@ -46,7 +46,11 @@
         slots: int = hosts_module.SLOTS,
         work_s: float = hosts_module.WORK_S,
         grace_s: float = GRACE_S,
+        zones: tuple[str, ...] = ('a',),
+        evacuation: bool = False,
     ) -> None:
+        self._zones = zones
+        self._evacuation = evacuation
         self._slots = slots
         self._work_s = work_s
         self._grace_s = grace_s
@@ -79,7 +83,10 @@
         )
         await self.configure(1)
         for number in range(self._host_count):
-            await self.add_host('desk' if number % 4 else 'vault')
+            await self.add_host(
+                'desk' if number % 4 else 'vault',
+                self._zones[number % len(self._zones)],
+            )
         names = [f'vm-{number}' for number in range(1, self._vm_count + 1)]
         for name in names:
             await self.start_vm(name)
@@ -130,11 +137,23 @@
             },
         )
 
-    async def add_host(self, service: str) -> hosts_module.Host:
+    async def evacuate(self, zone: str) -> float:
+        """Evacuate a zone; return when the store acknowledged it."""
+        await self.store.put('evacuations', zone, {})
+        return asyncio.get_running_loop().time()
+
+    async def restore_zone(self, zone: str) -> float:
+        """Restore a zone; return when the store acknowledged it."""
+        await self.store.delete('evacuations', zone)
+        return asyncio.get_running_loop().time()
+
+    async def add_host(
+        self, service: str, zone: str = 'a'
+    ) -> hosts_module.Host:
         """Start another host."""
         host = hosts_module.Host(
             service=service,
-            zone='a',
+            zone=zone,
             address=(
                 self._make_address(_HOST_GROUP, len(self.hosts) + 1),
                 8_080,
@@ -194,6 +213,7 @@
         number = int(name.removeprefix('vm-'))
         proxy = self._make_address(_PROXY_GROUP, number)
         return {
+            **({'evacuation': True} if self._evacuation else {}),
             'vm_id': name,
             'failure_domain': 'a',
             'flow_place': 'tag',
--- a/packages/savoryhaven/tests/test_evacuations.py
+++ b/packages/savoryhaven/tests/test_evacuations.py
@@ -1,6 +1,7 @@
 """Evacuated failure domains: nothing new is sent to their upstreams."""
 
 import json
+import random
 import typing
 
 import attrs
@@ -14,6 +15,8 @@
 from _savoryhaven.knowledge import positions
 from _savoryhaven.knowledge import records
 from _savoryhaven.operation import counters
+from _savoryhaven.operation import node as node_module
+from _savoryhaven.operation import settings as settings_module
 from _savoryhaven.placement import upstreams
 from savoryhaven_standins import tagged
 
@@ -474,3 +477,86 @@
     vm.receive(tagged.make_packet(2))
     ((raw, _),) = vm.take_sent()
     assert json.loads(raw[8:])['tag'] == 1
+
+
+@attrs.define
+class Platform:
+    """A platform of which only the store's answers matter."""
+
+    store: tagged.Store
+    codec: tagged.JsonCodec = attrs.field(factory=tagged.JsonCodec)
+
+    def open_store(
+        self, settings: settings_module.StoreSettings
+    ) -> tagged.Store:
+        return self.store
+
+    def decode_configuration(
+        self, document: bytes
+    ) -> records.RoutingConfiguration:
+        return tagged.decode_configuration(document)
+
+
+def make_node(*, evacuation: bool) -> node_module.Node:
+    """Return a VM that has routes and upstreams, confirmed just now."""
+    settings = settings_module.Settings(
+        vm_id='v-1',
+        failure_domain='a',
+        data_address='10.0.0.1:8172',
+        operator_address='10.0.0.1:9464',
+        readiness=settings_module.ReadinessSettings(
+            address='10.0.0.1:8167', path='/ready'
+        ),
+        peers=settings_module.PeerSettings(port=7720),
+        store=settings_module.StoreSettings(address='10.0.0.9:8169'),
+        evacuation=evacuation,
+    )
+    clock = tagged.ManualClock()
+    node = node_module.Node(
+        settings,
+        settings_path='',
+        platform=Platform(tagged.Store()),
+        clock=clock,
+        source=random.Random(1),
+    )
+    node.routes.adopt(tagged.make_configuration())
+    node.routes.confirm(clock.now)
+    node.catalogue.confirm(clock.now, clock.now)
+    node.catalogue.apply_snapshot(
+        records.UpstreamSnapshot(
+            revision=100, upstreams=(tagged.make_upstream(1),)
+        ),
+        clock.now,
+    )
+    return node
+
+
+def test_a_vm_is_not_ready_before_it_knows_the_evacuated_domains() -> None:
+    node = make_node(evacuation=True)
+    assert not node._is_informed()
+    assert not node.is_ready()
+    now = node.read_time()
+    # A peer that has not confirmed its set since this VM started.
+    node.evacuations.adopt(
+        ('a',), 90, source='h', confirmed_at=now - 1.0, now=now
+    )
+    assert node._is_informed()
+    assert not node.is_ready()
+    node.evacuations.confirm(now)
+    assert node.is_ready()
+
+
+def test_a_vm_that_nobody_tells_the_domains_serves_after_the_limit() -> None:
+    node = make_node(evacuation=True)
+    node._clock.now += node_module.UNCONFIRMED_MAX_S
+    assert not node.is_ready()
+    node._clock.now += 0.1
+    assert node.is_ready()
+    assert node._is_informed()
+
+
+def test_without_the_setting_a_vm_does_not_wait_for_the_domains() -> None:
+    node = make_node(evacuation=False)
+    assert node.evacuations is None
+    assert node._is_informed()
+    assert node.is_ready()
