--- a/packages/savoryhaven/tests/test_evacuations.py
+++ b/packages/savoryhaven/tests/test_evacuations.py
@@ -253,6 +253,22 @@
     assert len(list_events(vm, 'domain_evacuated')) == 2
 
 
+# Guards against reads that are repeated although the answer was valid.
+def test_a_watch_below_a_peers_position_confirms_the_peers_set() -> None:
+    vm = make_vm('ab')
+    learn(vm, 101)
+    vm.evacuations.adopt(
+        ('a',), 140, source='h', confirmed_at=1_001.0, now=1_002.0
+    )
+    changes = records.EvacuationChanges(since=101, revision=130, added=('b',))
+    assert not vm.evacuations.apply_changes(
+        changes, confirmed_at=1_003.0, now=1_004.0
+    )
+    assert vm.evacuations.confirmed_at == 1_003.0
+    assert vm.evacuations.position == 140
+    assert list_excluded(vm) == ['a']
+
+
 def test_a_later_position_of_the_same_set_is_no_change() -> None:
     vm = make_vm('ab')
     learn(vm, 101, 'a')
