--- a/benchmarks/run_all.py
+++ b/benchmarks/run_all.py
@@ -13,6 +13,7 @@
     'faults.py',
     'policies.py',
     'load_reports.py',
+    'slow_start.py',
     'capacity.py',
     'tagged_speed.py',
     'tagged_capacity.py',
--- a/packages/savoryhaven/src/_savoryhaven/placement/slow_start.py
+++ b/packages/savoryhaven/src/_savoryhaven/placement/slow_start.py
@@ -9,7 +9,6 @@
 
 import collections
 import math
-import operator
 import random
 import typing
 import zlib
@@ -32,8 +31,8 @@
 # Two VMs whose views of the fleet differ by one VM may both be designated.
 # Each may use a third of the bound; the last third is the reserve.
 BOUND_PARTS = 3
-# The share of openings that an upstream is a candidate for, right after it
-# was cold.
+# The part of its fair share of openings that an upstream may get right after
+# it was cold.
 RAMP_START_SHARE = 0.1
 # In a short ramp the first half second would be more than doubled by the
 # second one, so it starts higher.
@@ -50,7 +49,6 @@
 _HASH_FACTOR = 0x9E3779B97F4A7C15
 _HASH_MASK = (1 << 64) - 1
 _Count = counters_module.Count
-_get_warm_up_end = operator.attrgetter('warm_up_ends_at')
 
 
 class FleetView:
@@ -129,7 +127,7 @@
 
 
 def compute_ramp_share(since_s: float, ramp_s: float) -> float:
-    """Return the share of openings for an upstream that was cold.
+    """Return the part of its fair share for an upstream that was cold.
 
     It rises linearly within ``ramp_s`` to 1, and at most doubles from one
     half second to the next: with the start at ``s`` and a half second being
@@ -148,8 +146,8 @@
 
     ``until`` is the end of its cold time, ``marked_until`` the end that
     ``mark_cold`` requested. ``openings`` are the times of this VM's openings
-    of the last window. ``rank`` is this VM's rank in ``view``, computed up
-    to ``rank_limit``.
+    of the last window. ``rank`` is this VM's rank in ``view``, one beyond
+    ``ranks`` stands for all that follow.
     """
 
     state: upstreams.UpstreamState
@@ -159,7 +157,7 @@
     openings: collections.deque[float] = attrs.field(factory=collections.deque)
     view: frozenset[str] | None = None
     rank: int = 0
-    rank_limit: int = 0
+    ranks: int = 0
 
     def count_openings(self, now: float) -> int:
         """Return the number of openings within the window."""
@@ -190,6 +188,8 @@
         self._by_service: dict[str, dict[str, _Slowed]] = {}
         self._view: frozenset[str] = frozenset()
         self._hashes: list[tuple[int, str]] = []
+        # Slots by service, and when they were counted.
+        self._slots: dict[str, tuple[float, int]] = {}
 
     def filter(
         self,
@@ -208,64 +208,120 @@
         """
         if not states:
             return states
-        if max(map(_get_warm_up_end, states)) > now:
-            self._note_cold_entries(states, now)
+        self._note_entries(states, now)
         name = states[0].upstream.service
         slowed = self._by_service.get(name)
         if not slowed:
             return states
         service = services.get(name) or records.Service(name)
-        cold: list[_Slowed] = []
-        left_out: list[upstreams.UpstreamState] = []
-        for item in slowed.values():
-            state = item.state
-            self._refresh(item, now)
-            if state.upstream.tag in tried:
-                continue
+        items = [
+            item
+            for item in slowed.values()
+            if not tried or item.state.upstream.tag not in tried
+        ]
+        cold = self._list_cold(items, now)
+        left_out = []
+        if len(cold) < len(items):
+            slots = self._count_slots(name, states, now)
+            left_out = self._draw_left_out(items, service, slots, now)
+        excluded = {item.state for item in cold}
+        excluded.update(left_out)
+        selected = [state for state in states if state not in excluded]
+        if left_out and not _has_healthy(selected, tried, now):
+            # The draw must leave a candidate.
+            selected += left_out
+        if cold:
+            reserve = not _has_healthy(selected, tried, now)
+            shares = self._divide_bound(service)
+            selected += self._list_open(
+                cold, shares, live_vm_ids, now, reserve=reserve
+            )
+        return selected
+
+    def _list_cold(self, items: list[_Slowed], now: float) -> list[_Slowed]:
+        cold = []
+        for item in items:
+            until = item.state.warm_up_ends_at
+            # Nearly all items are as they were; a call for each is slow.
+            if item.cold or until > now:
+                if not item.until == until > now:
+                    self._refresh(item, now)
+                if item.cold:
+                    cold.append(item)
+        return cold
+
+    def _draw_left_out(
+        self,
+        items: list[_Slowed],
+        service: records.Service,
+        slots: int,
+        now: float,
+    ) -> list[upstreams.UpstreamState]:
+        """Return the upstreams in their ramp that this opening leaves out.
+
+        An idle upstream gets nearly every opening that it is a candidate
+        for. So it is a candidate for no more than the ramp's part of its fair
+        share, which is that of its slots.
+        """
+        draw = self._random.random
+        left_out = []
+        for item in items:
             if item.cold:
-                cold.append(item)
-            elif self._random.random() >= compute_ramp_share(
-                now - item.until, service.cold_start_s
-            ):
-                left_out.append(state)
-        return self._select(
-            states, cold, left_out, service, live_vm_ids, tried, now
-        )
+                continue
+            ramp = compute_ramp_share(now - item.until, service.cold_start_s)
+            if ramp < 1.0:
+                state = item.state
+                if draw() * slots >= ramp * state.upstream.slots:
+                    left_out.append(state)
+        return left_out
+
+    def _count_slots(
+        self, service: str, states: list[upstreams.UpstreamState], now: float
+    ) -> int:
+        """Return the slots of a service, which are counted now and then."""
+        counted_at, slots = self._slots.get(service, (-math.inf, 0))
+        if now - counted_at >= VIEW_LIFETIME_S:
+            slots = sum(
+                state.upstream.slots
+                for state in states
+                if selection.takes_new_flows(state)
+            )
+            self._slots[service] = (now, slots)
+        return slots
 
-    def _select(
+    def _list_open(
         self,
-        states: list[upstreams.UpstreamState],
         cold: list[_Slowed],
-        left_out: list[upstreams.UpstreamState],
-        service: records.Service,
+        shares: Shares,
         live_vm_ids: frozenset[str],
-        tried: frozenset[int],
         now: float,
+        *,
+        reserve: bool,
     ) -> list[upstreams.UpstreamState]:
-        """Return the warm upstreams, and the cold ones within the shares."""
-        if not cold and not left_out:
-            return states
-        excluded = {item.state for item in cold}
-        excluded.update(left_out)
-        selected = [state for state in states if state not in excluded]
-        if left_out and not _has_healthy(selected, tried, now):
-            selected += left_out
-        if not cold:
-            return selected
-        reserve = not _has_healthy(selected, tried, now)
-        shares = self._divide_bound(service)
+        """Return the cold upstreams that may get an opening of this VM.
+
+        ``reserve`` is whether the reserve may be used. An opening for which
+        a cold upstream is left out is counted.
+        """
+        found = []
         withheld = False
+        vms = len(live_vm_ids)
         for item in cold:
-            if not selection.takes_new_flows(item.state):
+            if item.view is not live_vm_ids or item.ranks != shares.reserve:
+                self._update_rank(item, live_vm_ids, shares.reserve)
+            limit = 0
+            if vms and (reserve or not item.rank):
+                limit = shares.get_limit(item.rank, vms)
+            if withheld and not limit:
                 continue
-            limit = self._get_limit(item, shares, live_vm_ids, reserve)
-            if limit and item.count_openings(now) < limit:
-                selected.append(item.state)
-            else:
-                withheld = True
+            if selection.takes_new_flows(item.state):
+                if item.count_openings(now) < limit:
+                    found.append(item.state)
+                else:
+                    withheld = True
         if withheld:
             self._counters[_Count.COLD_WITHHELD] += 1
-        return selected
+        return found
 
     def _divide_bound(self, service: records.Service) -> Shares:
         settings = self._settings
@@ -273,25 +329,14 @@
             service.cold_per_s * settings.overshoot + settings.slack
         )
 
-    def _get_limit(
-        self,
-        item: _Slowed,
-        shares: Shares,
-        live_vm_ids: frozenset[str],
-        reserve: bool,
-    ) -> int:
-        """Return how many openings of this VM an upstream may get."""
-        if not live_vm_ids:
-            return 0
-        if item.view is not live_vm_ids or item.rank_limit != shares.reserve:
-            item.view = live_vm_ids
-            item.rank_limit = shares.reserve
-            item.rank = self._compute_rank(
-                item.state.upstream.upstream_id, live_vm_ids, item.rank_limit
-            )
-        if item.rank and not reserve:
-            return 0
-        return shares.get_limit(item.rank, len(live_vm_ids))
+    def _update_rank(
+        self, item: _Slowed, live_vm_ids: frozenset[str], ranks: int
+    ) -> None:
+        item.view = live_vm_ids
+        item.ranks = ranks
+        item.rank = self._compute_rank(
+            item.state.upstream.upstream_id, live_vm_ids, ranks
+        )
 
     def _compute_rank(
         self, upstream_id: str, live_vm_ids: frozenset[str], highest: int
@@ -365,8 +410,7 @@
         so that their ramp is in force.
         """
         states = list(states)
-        if states and max(map(_get_warm_up_end, states)) > now:
-            self._note_cold_entries(states, now)
+        self._note_entries(states, now)
         if not self._slowed:
             return
         known = {state.upstream.upstream_id: state for state in states}
@@ -380,11 +424,13 @@
             ):
                 self._forget(item)
 
-    def _note_cold_entries(
+    def _note_entries(
         self, states: list[upstreams.UpstreamState], now: float
     ) -> None:
-        for state in states:
-            if state.warm_up_ends_at > now:
+        """Note the upstreams that are cold by their entries."""
+        for state in [s for s in states if s.warm_up_ends_at > now]:
+            item = self._slowed.get(state.upstream.upstream_id)
+            if item is None or item.state is not state or not item.cold:
                 self._refresh(self._put(state), now)
 
     def _put(self, state: upstreams.UpstreamState) -> _Slowed:
@@ -412,6 +458,7 @@
         del of_service[upstream.upstream_id]
         if not of_service:
             del self._by_service[upstream.service]
+            self._slots.pop(upstream.service, None)
 
     def _forget(self, item: _Slowed) -> None:
         if item.cold:
