--- a/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/hosts.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/hosts.py
@@ -65,6 +65,7 @@
         clients: typing.Mapping[int, str],
         slots: int = SLOTS,
         work_s: float = WORK_S,
+        cold_s: float = 0.0,
     ) -> None:
         number = next(_host_numbers)
         self._first_sequence = number * _ISN_STEP
@@ -77,6 +78,8 @@
         self._slot_count = slots
         self._slots = asyncio.Semaphore(slots)
         self._work_s = work_s
+        self._cold_s = cold_s
+        self._cold_until = 0.0
         self._zone = zone
         self._client_port = client_port
         self._store = store
@@ -97,7 +100,9 @@
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
         self._socket.bind(self.address)
-        asyncio.get_running_loop().add_reader(self._socket, self._read)
+        loop = asyncio.get_running_loop()
+        loop.add_reader(self._socket, self._read)
+        self._cold_until = loop.time() + self._cold_s
         await self.register()
 
     async def register(self) -> None:
@@ -105,6 +110,7 @@
         self._sequence += 1
         draining = self.draining_since is not None
         host, port = self.address
+        cold_s = self._cold_until - asyncio.get_running_loop().time()
         await self._store.put(
             'servers',
             self.name,
@@ -115,7 +121,7 @@
                 'version': 'v1',
                 'capacity_slots': self._slot_count,
                 'state': 'draining' if draining else 'ready',
-                'cold_remaining_ms': 0,
+                'cold_remaining_ms': max(0, round(cold_s * 1000)),
                 'sequence_number': self._sequence,
                 'born': 1,
             },
--- a/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/site.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/site.py
@@ -46,10 +46,13 @@
         slots: int = hosts_module.SLOTS,
         work_s: float = hosts_module.WORK_S,
         grace_s: float = GRACE_S,
+        settings: typing.Mapping[str, typing.Any] | None = None,
     ) -> None:
         self._slots = slots
         self._work_s = work_s
         self._grace_s = grace_s
+        # Settings of all VMs besides those that the site needs.
+        self._settings = settings or {}
         self.store = store_module.MetadataStore()
         self.observations = hosts_module.Observations()
         self.hosts: list[hosts_module.Host] = []
@@ -130,8 +133,10 @@
             },
         )
 
-    async def add_host(self, service: str) -> hosts_module.Host:
-        """Start another host."""
+    async def add_host(
+        self, service: str, *, cold_s: float = 0.0
+    ) -> hosts_module.Host:
+        """Start another host, which is cold for some time."""
         host = hosts_module.Host(
             service=service,
             zone='a',
@@ -145,6 +150,7 @@
             clients=self._client_hosts,
             slots=self._slots,
             work_s=self._work_s,
+            cold_s=cold_s,
         )
         self.hosts.append(host)
         await host.start()
@@ -210,6 +216,7 @@
             'store': {'address': f'{proxy}:{store_port}'},
             'stop': {'grace_s': self._grace_s},
             'plugins': ['savoryhaven_platform', *self._plugins],
+            **self._settings,
         }
 
     async def pause_vm(self, name: str, length_s: float) -> None:
--- a/packages/savoryhaven/src/_savoryhaven/operation/node.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/node.py
@@ -407,7 +407,12 @@
             return
         need_restart = [
             name
-            for name in ('vm_id', 'failure_domain', 'data_address')
+            for name in (
+                'vm_id',
+                'failure_domain',
+                'data_address',
+                'cold_start',
+            )
             if getattr(loaded, name) != getattr(self.settings, name)
         ]
         store_moved = loaded.store != self.settings.store
