--- a/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/site.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/users_platform/site.py
@@ -47,13 +47,14 @@
         work_s: float = hosts_module.WORK_S,
         grace_s: float = GRACE_S,
         zones: tuple[str, ...] = ('a',),
-        evacuation: bool = False,
+        settings: typing.Mapping[str, typing.Any] | None = None,
     ) -> None:
         self._zones = zones
-        self._evacuation = evacuation
         self._slots = slots
         self._work_s = work_s
         self._grace_s = grace_s
+        # Settings of all VMs besides those that the site needs.
+        self._settings = settings or {}
         self.store = store_module.MetadataStore()
         self.observations = hosts_module.Observations()
         self.hosts: list[hosts_module.Host] = []
@@ -148,9 +149,9 @@
         return asyncio.get_running_loop().time()
 
     async def add_host(
-        self, service: str, zone: str = 'a'
+        self, service: str, zone: str = 'a', *, cold_s: float = 0.0
     ) -> hosts_module.Host:
-        """Start another host."""
+        """Start another host, which is cold for some time."""
         host = hosts_module.Host(
             service=service,
             zone=zone,
@@ -164,6 +165,7 @@
             clients=self._client_hosts,
             slots=self._slots,
             work_s=self._work_s,
+            cold_s=cold_s,
         )
         self.hosts.append(host)
         await host.start()
@@ -213,7 +215,6 @@
         number = int(name.removeprefix('vm-'))
         proxy = self._make_address(_PROXY_GROUP, number)
         return {
-            **({'evacuation': True} if self._evacuation else {}),
             'vm_id': name,
             'failure_domain': 'a',
             'flow_place': 'tag',
@@ -230,6 +231,7 @@
             'store': {'address': f'{proxy}:{store_port}'},
             'stop': {'grace_s': self._grace_s},
             'plugins': ['savoryhaven_platform', *self._plugins],
+            **self._settings,
         }
 
     async def pause_vm(self, name: str, length_s: float) -> None:
--- a/packages/savoryhaven-standins/tests/test_users_evacuations.py
+++ b/packages/savoryhaven-standins/tests/test_users_evacuations.py
@@ -24,7 +24,7 @@
 TWO_ZONES: dict[str, typing.Any] = {
     'hosts': 7,
     'zones': ('a', 'b'),
-    'evacuation': True,
+    'settings': {'evacuation': True},
 }
 
 
--- a/packages/savoryhaven/src/_savoryhaven/operation/node.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/node.py
@@ -458,6 +458,7 @@
                 'failure_domain',
                 'data_address',
                 'evacuation',
+                'cold_start',
             )
             if getattr(loaded, name) != getattr(self.settings, name)
         ]
