savoryhavenctl loads: what became of openings, by VM, route and try

Whether callers are refused everywhere, or only at some VMs or routes, could not be seen without scripts over the logs. The command counts openings, moved copies, refusals and drops by failure domain and class of the VM, by route and by first try or copy, and refusals by reason.

Refusals do not name their route: it is the one that other lines name for the same destination. The class of a VM is the link rate in its line 'started'.

--- a/packages/savoryhaven-ctl/src/_savoryhaven_ctl/commands.py
+++ b/packages/savoryhaven-ctl/src/_savoryhaven_ctl/commands.py
@@ -26,6 +26,7 @@
 from _savoryhaven_ctl import fleet
 from _savoryhaven_ctl import summarizing
 from _savoryhaven_ctl import tables
+from _savoryhaven_ctl import tabulating
 
 PLATFORM_VARIABLE = 'SAVORYHAVEN_PLATFORM'
 EXIT_FAILED = 1
@@ -392,6 +393,7 @@
         DrainCommand(),
         explaining.ExplainCommand(),
         summarizing.TimelineCommand(),
+        tabulating.LoadsCommand(),
         completions_command.CompletionsCommand(),
     ):
         app.add(command)
