--- a/packages/savoryhaven-ctl/src/_savoryhaven_ctl/explanations.py
+++ b/packages/savoryhaven-ctl/src/_savoryhaven_ctl/explanations.py
@@ -62,9 +62,14 @@
         'upstream_updated',
         'upstream_removed',
         'upstream_kept',
+        'upstream_cold',
+        'upstream_warm',
         'lapse_ended',
     }
 )
+_DOMAIN_EVENTS = frozenset(
+    {'domain_evacuated', 'domain_restored', 'evacuation_kept'}
+)
 
 
 @attrs.frozen
@@ -173,11 +178,11 @@
     vms = {event.vm for event in flow_events}
     upstreams = {event.get('upstream') for event in flow_events}
     began, ended = flow_events[0].at, flow_events[-1].at
-    return tuple(
+    near = tuple(
         event
         for event in events
         if (
-            event.name in _VM_EVENTS
+            event.name in _VM_EVENTS | _DOMAIN_EVENTS
             and event.vm in vms
             and began - VM_EVENT_MARGIN_S
             <= event.at
@@ -191,6 +196,26 @@
             <= ended + CRASH_DETECTION_S
         )
     )
+    before = began - VM_EVENT_MARGIN_S
+    return (*_list_evacuated(events, vms, before), *near)
+
+
+def _list_evacuated(
+    events: list[Event], vms: set[str], before: float
+) -> list[Event]:
+    """Return the events by which VMs had domains evacuated before a time.
+
+    An evacuation may last for days, and refuses openings as long.
+    """
+    latest: dict[tuple[str, str], Event] = {}
+    for event in events:
+        if event.name not in _DOMAIN_EVENTS or event.vm not in vms:
+            continue
+        if event.at < before:
+            latest[event.vm, str(event.get('domain'))] = event
+    return [
+        event for event in latest.values() if event.name != 'domain_restored'
+    ]
 
 
 def _draw_conclusions(
@@ -203,6 +228,8 @@
             conclusions.append(Conclusion(text, event))
     conclusions += _explain_removals(flow_events, around)
     conclusions += _explain_vms(around)
+    conclusions += _explain_cold(around)
+    conclusions += _explain_domains(around)
     for event in (*flow_events, *around):
         left_out = event.get('left_out_before')
         if left_out:
@@ -220,6 +247,16 @@
                 f'overload: {reason}, too late for the route; nothing has '
                 'run, the client may retry'
             )
+        case 'opening_refused' if 'are evacuated' in reason:
+            return (
+                f'evacuation: {reason}; nothing has run, and a retry is '
+                'refused until the operator restores one of them'
+            )
+        case 'opening_refused' if 'are cold' in reason:
+            return (
+                f'cold start: {reason}, and take only a few openings a '
+                'second; nothing has run, the client may retry'
+            )
         case 'opening_refused':
             return f'the opening was refused: {reason}; nothing has run'
         case 'opening_dropped':
@@ -301,3 +338,43 @@
                 continue
         conclusions.append(Conclusion(text, event))
     return conclusions
+
+
+def _explain_cold(around: tuple[Event, ...]) -> list[Conclusion]:
+    """Return the upstreams that were cold, once for all VMs."""
+    first: dict[str, Event] = {}
+    for event in around:
+        if event.name == 'upstream_cold':
+            first.setdefault(str(event.get('upstream')), event)
+    return [
+        Conclusion(f'upstream {upstream} was cold: {event.get("why")}', event)
+        for upstream, event in first.items()
+    ]
+
+
+def _explain_domains(around: tuple[Event, ...]) -> list[Conclusion]:
+    """Return which failure domains were evacuated or restored at the VMs."""
+    conclusions = []
+    for event in around:
+        domain = f'failure domain {event.get("domain")}'
+        match event.name:
+            case 'domain_evacuated':
+                text = (
+                    f'{event.vm} opened no flows at the upstreams '
+                    f'({event.get("upstreams")}) of {domain}, which the '
+                    'operator had evacuated'
+                )
+            case 'domain_restored':
+                text = (
+                    f'{event.vm} learned that the operator had restored '
+                    f'{domain}'
+                )
+            case 'evacuation_kept':
+                text = (
+                    f'{event.vm} kept {domain} evacuated, which the copy '
+                    'that the store came back from lacks'
+                )
+            case _:
+                continue
+        conclusions.append(Conclusion(text, event))
+    return conclusions
--- a/packages/savoryhaven-ctl/src/_savoryhaven_ctl/timelines.py
+++ b/packages/savoryhaven-ctl/src/_savoryhaven_ctl/timelines.py
@@ -31,6 +31,7 @@
     'store_era_changed': 'found that the store came back from an older copy',
     'store_behind': 'found an older configuration in the store',
     'upstream_kept': 'kept the state of an upstream against the store',
+    'evacuation_kept': 'kept a failure domain evacuated against the store',
     'peer_lost': 'lost peers',
     'snapshot_requested': 'requested a snapshot from a peer',
     'configuration_adopted': 'adopted a configuration',
@@ -47,8 +48,10 @@
 
     Times are in seconds since 1970. ``counts`` are lines by event, those that
     VMs left out included; ``vms`` the VMs by event; ``added``, ``removed`` and
-    ``lapsed`` upstreams, ``added`` by VM. ``silent_s`` is how long no VM had
-    logged anything before the first event.
+    ``lapsed`` upstreams, ``added`` by VM. ``evacuated`` and ``restored`` have
+    the VMs that learned of it by failure domain; ``cold`` and ``warm`` are
+    upstreams. ``silent_s`` is how long no VM had logged anything before the
+    first event.
     """
 
     first_at: float
@@ -58,6 +61,10 @@
     added: dict[str, set[str]] = attrs.field(factory=dict)
     removed: set[str] = attrs.field(factory=set)
     lapsed: set[str] = attrs.field(factory=set)
+    evacuated: dict[str, set[str]] = attrs.field(factory=dict)
+    restored: dict[str, set[str]] = attrs.field(factory=dict)
+    cold: set[str] = attrs.field(factory=set)
+    warm: set[str] = attrs.field(factory=set)
     silent_s: float = 0.0
 
     def add(self, event: explanations.Event) -> None:
@@ -77,6 +84,16 @@
                 self.lapsed.add(upstream)
             case 'upstream_removed':
                 self.removed.add(upstream)
+            case 'upstream_cold':
+                self.cold.add(upstream)
+            case 'upstream_warm':
+                self.warm.add(upstream)
+            case 'domain_evacuated':
+                domain = str(event.get('domain'))
+                self.evacuated.setdefault(domain, set()).add(event.vm)
+            case 'domain_restored':
+                domain = str(event.get('domain'))
+                self.restored.setdefault(domain, set()).add(event.vm)
 
     def count_vms(self) -> int:
         """Return how many VMs logged anything."""
@@ -89,10 +106,21 @@
             for name, text in _VM_NOTES.items()
             if name in self.vms
         ]
+        for domains, state in (
+            (self.evacuated, 'evacuated'),
+            (self.restored, 'restored'),
+        ):
+            for domain, vms in sorted(domains.items()):
+                notes.append(
+                    f'{_count(len(vms), "VM")} learned that failure domain '
+                    f'{domain} is {state}'
+                )
         for upstreams, text in (
             (self.removed, 'removed'),
             (self.lapsed, 'removed after an outage of the store'),
             (self._list_added(), 'added'),
+            (self.cold, 'cold'),
+            (self.warm, 'warm'),
         ):
             if upstreams:
                 notes.append(f'{_count(len(upstreams), "upstream")} {text}')
--- a/packages/savoryhaven-ctl/tests/test_explanations.py
+++ b/packages/savoryhaven-ctl/tests/test_explanations.py
@@ -101,6 +101,80 @@
         assert 'nothing has run' in text
 
 
+def test_a_refusal_during_an_evacuation_names_the_domain() -> None:
+    """The domain may have been evacuated long before the opening."""
+    reason = 'all failure domains with its upstreams are evacuated for s1'
+    texts = list_texts(
+        explain(
+            make_line('domain_evacuated', -900.0, domain='b', upstreams=3),
+            make_line('domain_evacuated', -900.0, domain='c', upstreams=1),
+            make_line('domain_restored', -300.0, domain='c', upstreams=1),
+            make_line('opening_refused', 0.0, flow=FLOW, reason=reason),
+            about=FLOW,
+        )
+    )
+    assert texts == [
+        f'evacuation: {reason}; nothing has run, and a retry is refused '
+        'until the operator restores one of them',
+        'a1 opened no flows at the upstreams (3) of failure domain b, which '
+        'the operator had evacuated',
+    ]
+
+
+def test_evacuations_of_other_vms_are_left_out() -> None:
+    elsewhere = make_line('domain_evacuated', -1.0, domain='b', vm='z9')
+    assert not explain(make_request(), elsewhere).around
+
+
+def test_a_restored_or_kept_evacuation_is_reported() -> None:
+    texts = list_texts(
+        explain(
+            make_request(),
+            make_line('domain_restored', 0.5, domain='b'),
+            make_line('evacuation_kept', 1.0, domain='c'),
+        )
+    )
+    assert texts == [
+        'a1 learned that the operator had restored failure domain b',
+        'a1 kept failure domain c evacuated, which the copy that the store '
+        'came back from lacks',
+    ]
+
+
+def test_a_refusal_with_cold_upstreams_may_be_retried() -> None:
+    reason = 'all upstreams are cold for s1'
+    line = make_line('opening_refused', 0.0, flow=FLOW, reason=reason)
+    (text,) = list_texts(explain(line, about=FLOW))
+    assert text == (
+        f'cold start: {reason}, and take only a few openings a second; '
+        'nothing has run, the client may retry'
+    )
+
+
+def test_a_service_named_like_a_reason_changes_no_conclusion() -> None:
+    reason = 'no upstream is known for cold-evacuated'
+    line = make_line('opening_refused', 0.0, flow=FLOW, reason=reason)
+    (text,) = list_texts(explain(line, about=FLOW))
+    assert text == f'the opening was refused: {reason}; nothing has run'
+
+
+def test_a_cold_upstream_of_the_request_is_reported_once() -> None:
+    """Each VM logs it, and a fleet may have 200 of them."""
+    explanation = explain(
+        make_line('upstream_cold', -1.0, upstream='i-1', why='it started'),
+        make_line('upstream_cold', -0.9, upstream='i-1', why='x', vm='a2'),
+        make_line('upstream_cold', -1.0, upstream='i-2', why='it started'),
+        make_request(),
+        make_line('upstream_warm', 1.0, upstream='i-1'),
+    )
+    assert list_texts(explanation) == ['upstream i-1 was cold: it started']
+    assert [event.name for event in explanation.around] == [
+        'upstream_cold',
+        'upstream_cold',
+        'upstream_warm',
+    ]
+
+
 def test_problems_of_the_vm_are_reported() -> None:
     lost = make_line('store_lost', 0.5, code='SH301')
     paused = make_line('paused', 1.0, for_s=1.2)
--- a/packages/savoryhaven-ctl/tests/test_timelines.py
+++ b/packages/savoryhaven-ctl/tests/test_timelines.py
@@ -78,6 +78,35 @@
     assert window.list_notes() == ['1 VM delayed a planned stop']
 
 
+def test_evacuations_are_noted_by_failure_domain() -> None:
+    first, second = summarize(
+        make_line('domain_evacuated', 0.1, 'a1', domain='b', upstreams=3),
+        make_line('domain_evacuated', 0.2, 'a2', domain='b', upstreams=3),
+        make_line('domain_evacuated', 0.2, 'a2', domain='c', upstreams=2),
+        make_line('domain_restored', 2.0, 'a1', domain='b', upstreams=3),
+        make_line('evacuation_kept', 2.1, 'a2', domain='c'),
+    )
+    assert first.list_notes() == [
+        '2 VMs learned that failure domain b is evacuated',
+        '1 VM learned that failure domain c is evacuated',
+    ]
+    assert second.list_notes() == [
+        '1 VM kept a failure domain evacuated against the store',
+        '1 VM learned that failure domain b is restored',
+        'no VM logged anything for 1.8 s before',
+    ]
+
+
+def test_cold_upstreams_are_counted_once_for_all_vms() -> None:
+    (window,) = summarize(
+        make_line('upstream_cold', 0.0, 'a1', upstream='u1', why='started'),
+        make_line('upstream_cold', 0.1, 'a2', upstream='u1', why='started'),
+        make_line('upstream_cold', 0.1, 'a2', upstream='u2', why='restored'),
+        make_line('upstream_warm', 0.2, 'a2', upstream='u3'),
+    )
+    assert window.list_notes() == ['2 upstreams cold', '1 upstream warm']
+
+
 def test_a_silence_is_noted_where_it_ends() -> None:
     """Pattern: all VMs lose power and start again."""
     before, after = summarize(
