VMs with owned flows open no flows in evacuated failure domains

Operators could drain single upstreams only, each by a change of the document. With the setting platform.evacuation a VM reads the objects of kind 'evacuations' (name: the failure domain, content ignored) beside the document.

Upstreams of such a domain count as leaving in the VM's view, so placement, pins, copies and handovers treat them as known; open flows stay. The readers of a domain watch the names of the kind, one call in 2 s each; the others learn of a newer revision by probes and fetch it. The object API gains GET /objects/KIND and DELETE. Without the setting no call is made; a probe is a byte longer. Older builds ignore the further fields.

--- a/packages/savoryhaven-standins/src/savoryhaven_standins/platform.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/platform.py
@@ -8,6 +8,7 @@
 
 import argparse
 import asyncio
+import collections
 import typing
 
 from aiohttp import web
@@ -46,6 +47,7 @@
         self.objects: dict[tuple[str, str], StoredObject] = {}
         self.vms: dict[str, dict[str, str]] = {}
         self.revision = 1
+        self.kind_revisions: collections.Counter[str] = collections.Counter()
         self.calls = 0
 
     def build_app(self) -> web.Application:
@@ -57,6 +59,8 @@
             [
                 web.get('/objects/{kind}/{name}', self._get_object),
                 web.put('/objects/{kind}/{name}', self._put_object),
+                web.delete('/objects/{kind}/{name}', self._delete_object),
+                web.get('/objects/{kind}', self._get_names),
                 web.get('/vms', self._get_vms),
                 web.put('/vms/{vm_id}', self._put_vm),
                 web.delete('/vms/{vm_id}', self._delete_vm),
@@ -119,10 +123,42 @@
         if stored:
             stored.previous = None
         self.objects[key] = StoredObject(version, await request.json(), stored)
-        if self.faults.lost_answers > 0:
-            self.faults.lost_answers -= 1
-            return web.Response(status=503, text='answer lost')
-        return web.Response(headers={'ETag': f'"{version}"'})
+        self.kind_revisions[key[0]] += 1
+        return self._lose_answer() or web.Response(
+            headers={'ETag': f'"{version}"'}
+        )
+
+    async def _delete_object(self, request: web.Request) -> web.Response:
+        key = (request.match_info['kind'], request.match_info['name'])
+        if self.objects.pop(key, None) is None:
+            return web.Response(status=404)
+        self.kind_revisions[key[0]] += 1
+        return self._lose_answer() or web.Response(status=204)
+
+    def _lose_answer(self) -> web.Response | None:
+        """Return the error that replaces the answer of a write, if any."""
+        if self.faults.lost_answers <= 0:
+            return None
+        self.faults.lost_answers -= 1
+        return web.Response(status=503, text='answer lost')
+
+    async def _get_names(self, request: web.Request) -> web.Response:
+        kind = request.match_info['kind']
+        watched = request.query.get('watch')
+        wait_s = float(request.query.get('wait', 0))
+        loop = asyncio.get_running_loop()
+        until = loop.time() + wait_s
+        while True:
+            revision = self.kind_revisions[kind]
+            silent = self.faults.silent_watches and wait_s > 0
+            if str(revision) != watched and not silent:
+                names = [name for found, name in self.objects if found == kind]
+                return web.json_response(
+                    {'revision': revision, 'names': sorted(names)}
+                )
+            if loop.time() >= until:
+                return web.Response(status=304)
+            await asyncio.sleep(WATCH_POLL_INTERVAL_S)
 
     async def _get_vms(self, request: web.Request) -> web.Response:
         return web.json_response(
--- a/packages/savoryhaven/src/_savoryhaven/hooks.py
+++ b/packages/savoryhaven/src/_savoryhaven/hooks.py
@@ -89,6 +89,13 @@
     value: typing.Any
 
 
+class ObjectNames(typing.Protocol):
+    """The names of all objects of a kind, as of a revision."""
+
+    revision: int
+    names: tuple[str, ...]
+
+
 class PlatformVm(typing.Protocol):
     """One row of the platform's list of VMs.
 
@@ -126,6 +133,23 @@
         an object that does not exist yet.
         """
 
+    async def delete_object(self, kind: str, name: str) -> bool:
+        """Delete an object; return whether there was one."""
+
+    async def list_objects(self, kind: str) -> ObjectNames:
+        """Return the names of all objects of a kind.
+
+        This and the next method are called only if evacuations are enabled.
+        """
+
+    async def watch_objects(
+        self, kind: str, revision: int, wait_s: float
+    ) -> ObjectNames | None:
+        """Return the names once they have another revision, else None.
+
+        The wait for another revision ends after ``wait_s`` seconds.
+        """
+
     async def list_vms(self) -> tuple[int, list[PlatformVm]]:
         """Return the revision of the list of VMs, and the list."""
 
--- a/packages/savoryhaven/src/_savoryhaven/tracking/configuration.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/configuration.py
@@ -41,6 +41,9 @@
 # Listed VMs that a starting VM introduces itself to. One of them may be dead
 # and one may be starting too; the third then connects both starting VMs.
 INTRODUCTION_PEERS = 3
+# Evacuations are watched for this long, then read without a wait, as a watch
+# may be silent. With both, a change is known within 5 s, for one call in 2 s.
+EVACUATIONS_WATCH_S = 4.0
 RETRY_MIN_S = 0.2
 RETRY_MAX_S = 5.0
 # A failure domain without VMs on the platform's list counts as gone after
@@ -109,6 +112,10 @@
                 continue
             self._process_list(revision, vms)
 
+    async def run_evacuation_watch(self) -> None:
+        """Watch the evacuated failure domains while this VM is a reader."""
+        await self._run_reader(self._watch_evacuations)
+
     async def _run_reader(
         self, step: typing.Callable[[], typing.Awaitable[None]]
     ) -> None:
@@ -164,6 +171,40 @@
         )
         self._process_object(found)
 
+    async def _watch_evacuations(self) -> None:
+        known = self._context.routing.evacuations_revision
+        found = await self._client.watch_objects(
+            platform.EVACUATIONS_KIND, known, EVACUATIONS_WATCH_S
+        )
+        if found is None:
+            self._context.counters[_Count.PLATFORM_CALLS] += 1
+            await self.read_evacuations_now()
+        elif found.revision > known:
+            self._process_evacuations(found)
+        else:
+            # The platform does not know the kind, or answers with older state.
+            await asyncio.sleep(EVACUATIONS_WATCH_S)
+
+    async def read_evacuations_now(self) -> None:
+        """Read the evacuated domains; raises ``PlatformError``."""
+        self._process_evacuations(
+            await self._client.list_objects(platform.EVACUATIONS_KIND)
+        )
+
+    def _process_evacuations(self, found: hooks.ObjectNames) -> None:
+        self.update_evacuated(found.revision, frozenset(found.names))
+
+    def update_evacuated(self, revision: int, domains: frozenset[str]) -> None:
+        """Apply the evacuated failure domains of a newer revision."""
+        routing_state = self._context.routing
+        if revision <= routing_state.evacuations_revision:
+            return
+        if routing_state.set_evacuated(revision, domains):
+            logger.info(
+                'evacuated failure domains changed to {}', sorted(domains)
+            )
+        self.announce()
+
     def _process_object(self, found: hooks.StoredObject | None) -> None:
         if found is None or found.version == self._version:
             return
@@ -327,11 +368,13 @@
             self._send(peer.vm_id, announcement)
 
     def is_behind(self, knowledge: messages.Knowledge) -> bool:
-        """Return whether a peer has a newer document or VM list."""
+        """Return whether a peer has newer versions."""
         routing_state = self._context.routing
         return (
             knowledge.generation > routing_state.generation
             or knowledge.list_revision > routing_state.list_revision
+            or knowledge.evacuations_revision
+            > routing_state.evacuations_revision
         )
 
     def note_knowledge(
@@ -368,6 +411,7 @@
             context.routing.list_revision,
             members,
             joining,
+            context.routing.evacuations_revision,
         )
 
     def make_join(self) -> messages.Fetch:
@@ -394,6 +438,9 @@
             base = tables.document if tables else None
             merged = changes.merge_change(base, update.change)
             self.offer_document(merged, f'peer {source}')
+        self.update_evacuated(
+            update.evacuations_revision, frozenset(update.evacuated_domains)
+        )
         if update.list_revision > context.routing.list_revision:
             context.owners.set_gone_domains(frozenset(update.gone_domains))
             self.update_leaving(
@@ -415,7 +462,9 @@
         return messages.Update(
             change,
             state.list_revision,
-            tuple(sorted(state.view.leaving)),
+            tuple(sorted(state.listed_leaving)),
             tuple(sorted(context.owners.gone_domains)),
             members,
+            state.evacuations_revision,
+            tuple(sorted(state.evacuated_domains)),
         )
--- a/packages/savoryhaven/src/_savoryhaven/tracking/context.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/context.py
@@ -48,11 +48,12 @@
         return self.settings.vm_id
 
     def get_knowledge(self) -> messages.Knowledge:
-        """Return the versions of this VM's routing document and VM list."""
+        """Return the versions of what this VM knows from the platform."""
         return messages.Knowledge(
             self.routing.generation,
             self.routing.list_revision,
             self.platform_reachable,
+            self.routing.evacuations_revision,
         )
 
     def count_flow(self, flow: flows_module.Flow) -> None:
--- a/packages/savoryhaven/src/_savoryhaven/tracking/joining.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/joining.py
@@ -89,8 +89,11 @@
 
     async def _has_document(self) -> bool:
         """Read the platform; return whether a document is in force."""
+        context = self._context
         try:
             await self._configuration.read_now()
+            if context.settings.platform.evacuation:
+                await self._configuration.read_evacuations_now()
         except errors.PlatformError as exc:
             logger.debug('joining without the platform: {}', exc)
-        return self._context.routing.tables is not None
+        return context.routing.tables is not None
--- a/packages/savoryhaven/src/_savoryhaven/tracking/messages.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/messages.py
@@ -52,11 +52,12 @@
 
 @attrs.frozen
 class Knowledge:
-    """The versions of the sender's routing document and VM list."""
+    """The versions of the sender's routing document, VM list, evacuations."""
 
     generation: int
     list_revision: int
     platform_reachable: bool
+    evacuations_revision: int = 0
 
 
 @attrs.frozen
@@ -164,7 +165,7 @@
 
 @attrs.frozen
 class Fetch:
-    """Requests what is newer than the sender's document and VM list.
+    """Requests what is newer than the sender's versions.
 
     ``members`` requests all members as well. A sender that is ``joining``
     can't own any buckets yet.
@@ -175,6 +176,7 @@
     list_revision: int
     members: bool
     joining: bool
+    evacuations_revision: int = 0
 
 
 @attrs.frozen
@@ -190,6 +192,8 @@
     leaving: tuple[str, ...]
     gone_domains: tuple[str, ...]
     members: tuple[MemberRecord, ...]
+    evacuations_revision: int = 0
+    evacuated_domains: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/packages/savoryhaven/src/_savoryhaven/tracking/operator_api.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/operator_api.py
@@ -122,6 +122,8 @@
         'state': members.me.state.name.lower(),
         'generation': context.routing.generation,
         'list_revision': context.routing.list_revision,
+        'evacuated_domains': sorted(context.routing.evacuated_domains),
+        'evacuations_revision': context.routing.evacuations_revision,
         'platform_reachable': context.platform_reachable,
         'reader': configuration.is_reader(),
         'in_doubt': context.local_health.in_doubt(now),
@@ -158,7 +160,7 @@
         'upstreams': loads,
         'reported_utilisations': context.loads.list_reported(),
         'silent_upstreams': context.loads.list_silent(now),
-        'leaving_upstreams': sorted(context.routing.view.leaving),
+        'leaving_upstreams': sorted(context.routing.listed_leaving),
         'gone_domains': sorted(context.owners.gone_domains),
         'copies_held': dict(copies.count_copies(context)),
         'members': [
--- a/packages/savoryhaven/src/_savoryhaven/tracking/platform.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/platform.py
@@ -4,8 +4,11 @@
 returns the value with its version as ``ETag``; with ``watch=VERSION`` and
 ``wait=SECONDS`` it answers 200 once the version differs, or 304 after the
 wait. ``PUT`` takes ``If-Match`` with the expected version, or
-``If-None-Match: *``, and answers 412 if the condition is false. ``GET /vms``
-returns the list of VMs.
+``If-None-Match: *``, and answers 412 if the condition is false. ``DELETE``
+answers 404 if there is no such object. ``GET /objects/KIND`` returns the names
+of all objects of a kind, and a revision that grows with each change of them;
+with ``watch=REVISION`` and ``wait=SECONDS`` it answers 304 if the revision is
+the same after the wait. ``GET /vms`` returns the list of VMs.
 """
 
 import json
@@ -20,6 +23,8 @@
 
 DOCUMENT_KIND = 'routing'
 DOCUMENT_NAME = 'document'
+# The name of an object of this kind is that of an evacuated failure domain.
+EVACUATIONS_KIND = 'evacuations'
 _READ_CHUNK_BYTES = 8 * 1024 * 1024
 # Time that a whole answer may take on a slow link; the setting ``timeout_s``
 # bounds the wait for each part of it.
@@ -34,6 +39,14 @@
     value: typing.Any
 
 
+@attrs.frozen(kw_only=True)
+class ObjectNames:
+    """The names of all objects of a kind, as of a revision."""
+
+    revision: int
+    names: tuple[str, ...]
+
+
 @attrs.frozen(kw_only=True)
 class PlatformVm:
     """One row of the platform's list of VMs."""
@@ -105,6 +118,37 @@
             raise _make_error(f'unexpected status {status}: {body[:200]!r}')
         return version
 
+    async def delete_object(self, kind: str, name: str) -> bool:
+        """Delete an object; return whether there was one.
+
+        Raises ``PlatformError`` ``SH301`` when it is unknown whether it was
+        deleted.
+        """
+        status, _, body = await self._call(
+            'DELETE', f'/objects/{kind}/{name}', self._settings.timeout_s
+        )
+        if status not in (200, 204, 404):
+            raise _make_error(f'unexpected status {status}: {body[:200]!r}')
+        return status != 404
+
+    async def list_objects(self, kind: str) -> ObjectNames:
+        """Return the names of a kind; raises ``PlatformError`` ``SH301``.
+
+        A platform that does not know the kind has no objects of it.
+        """
+        found = await self._list(kind, {}, self._settings.timeout_s)
+        return found or ObjectNames(revision=0, names=())
+
+    async def watch_objects(
+        self, kind: str, revision: int, wait_s: float
+    ) -> ObjectNames | None:
+        """Return the names once their revision differs, or None after a wait.
+
+        Raises ``PlatformError`` ``SH301``.
+        """
+        query = {'watch': str(revision), 'wait': str(wait_s)}
+        return await self._list(kind, query, self._settings.timeout_s + wait_s)
+
     async def list_vms(self) -> tuple[int, list[PlatformVm]]:
         """Return the revision of the list of VMs, and the list.
 
@@ -126,6 +170,22 @@
             await self._session.close()
             self._session = None
 
+    async def _list(
+        self, kind: str, query: dict[str, str], timeout_s: float
+    ) -> ObjectNames | None:
+        status, _, body = await self._call(
+            'GET', f'/objects/{kind}', timeout_s, params=query
+        )
+        if status == 304:
+            return None
+        if status == 404:
+            return ObjectNames(revision=0, names=())
+        if status != 200:
+            raise _make_error(f'unexpected status {status}: {body[:200]!r}')
+        return schema.load(
+            _parse(body), ObjectNames, code='SH303', error=errors.PlatformError
+        )
+
     async def _read(
         self, kind: str, name: str, query: dict[str, str], timeout_s: float
     ) -> StoredObject | None:
--- a/packages/savoryhaven/src/_savoryhaven/tracking/routing.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/routing.py
@@ -68,6 +68,11 @@
         self.tables: placement.Tables | None = None
         self.view = placement.View()
         self.list_revision = 0
+        # The leaving upstreams of the platform's list. Those of the view also
+        # include all upstreams of evacuated failure domains.
+        self.listed_leaving: frozenset[str] = frozenset()
+        self.evacuations_revision = 0
+        self.evacuated_domains: frozenset[str] = frozenset()
         self._history: dict[str, list[_TableVersion]] = {}
         self._origins: dict[bytes, Origin] = {}
         self._expiring_origins: dict[bytes, _ExpiringOrigin] = {}
@@ -90,7 +95,7 @@
         former = self.tables
         tables = placement.Tables(document, former)
         self.tables = tables
-        self.view = attrs.evolve(self.view, generation=document.generation)
+        self._update_view()
         changed = _find_changed(former, tables)
         self._add_to_history(tables, changed)
         self._replace_origins(tables, now)
@@ -106,10 +111,44 @@
         if revision <= self.list_revision:
             return frozenset()
         self.list_revision = revision
-        differing = self.view.leaving ^ leaving
-        self.view = attrs.evolve(self.view, leaving=leaving)
+        differing = self.listed_leaving ^ leaving
+        self.listed_leaving = leaving
+        self._update_view()
         return differing
 
+    def set_evacuated(
+        self, revision: int, domains: frozenset[str]
+    ) -> frozenset[str]:
+        """Set the evacuated failure domains and return those that changed.
+
+        Ignored unless the revision is newer than the current one.
+        """
+        if revision <= self.evacuations_revision:
+            return frozenset()
+        self.evacuations_revision = revision
+        differing = self.evacuated_domains ^ domains
+        self.evacuated_domains = domains
+        self._update_view()
+        return differing
+
+    def _update_view(self) -> None:
+        """Derive the view; upstreams of evacuated domains count as leaving.
+
+        So they get no new flows, while their open flows are pinned, copied
+        and handed over like those of any leaving upstream.
+        """
+        evacuated: set[str] = set()
+        if self.tables is not None and self.evacuated_domains:
+            for table in self.tables.by_name.values():
+                evacuated.update(
+                    target.endpoint
+                    for target in table.targets
+                    if target.failure_domain in self.evacuated_domains
+                )
+        self.view = placement.View(
+            generation=self.generation, leaving=self.listed_leaving | evacuated
+        )
+
     def find_table(
         self, service: str, generation: int
     ) -> placement.ServiceTable | None:
--- a/packages/savoryhaven/src/_savoryhaven/tracking/settings.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/settings.py
@@ -46,6 +46,14 @@
         unit='s',
         doc='time between two reads of the list of VMs',
     )
+    evacuation: bool = attrs.field(
+        default=False,
+        metadata={
+            'schema': {},
+            'unit': '',
+            'doc': 'whether operators may evacuate failure domains',
+        },
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/savoryhaven/src/_savoryhaven/tracking/vm.py
+++ b/packages/savoryhaven/src/_savoryhaven/tracking/vm.py
@@ -145,7 +145,11 @@
                 task.cancel()
 
     def _list_tasks(self) -> list[TaskFunction]:
+        optional: list[TaskFunction] = []
+        if self.settings.platform.evacuation:
+            optional.append(self.configuration.run_evacuation_watch)
         return [
+            *optional,
             self._detector.run_heartbeat,
             self._detector.run_probes,
             self.configuration.run_document_watch,
--- a/packages/savoryhaven/tests/test_messages.py
+++ b/packages/savoryhaven/tests/test_messages.py
@@ -32,7 +32,7 @@
     messages.CopyAck(1),
     messages.LoadReport('a1', {'x': 1}, ('x',), {'x': 0.5}),
     messages.Fetch(RECORD, 1, 2, True, False),
-    messages.Update(CHANGE, 1, ('x',), ('b',), (RECORD,)),
+    messages.Update(CHANGE, 1, ('x',), ('b',), (RECORD,), 5, ('c',)),
     messages.FlowCopies(
         'a1', 1, ('x',), True, (FLOW,), (TOMBSTONE,),
         (messages.FilterRecord(b'f', 1, (), 3.0),), True, (FLOW,),
@@ -54,6 +54,20 @@
     assert messages.decode_message(messages.encode_message(message)) == message
 
 
+def test_messages_of_builds_with_other_fields_are_decoded() -> None:
+    """Guards against VMs that lose each other while builds are replaced."""
+    announcement = messages.Announcement(RECORD, KNOWLEDGE)
+    number, sender, knowledge = cbor2.loads(
+        messages.encode_message(announcement)
+    )
+    for fields in (knowledge[:3], [*knowledge, 'newer']):
+        data = cbor2.dumps([number, sender, fields])
+        assert messages.decode_message(data) == announcement
+    update = messages.Update(None, 1, ('x',), (), ())
+    encoded = cbor2.loads(messages.encode_message(update))
+    assert messages.decode_message(cbor2.dumps(encoded[:6])) == update
+
+
 def decode_or_refuse(data: bytes) -> None:
     """Decode data; fail on any error other than ``PeerError`` ``SH401``."""
     try:
--- a/packages/savoryhaven/tests/test_platform_client.py
+++ b/packages/savoryhaven/tests/test_platform_client.py
@@ -1,6 +1,7 @@
 """The client of the object API: answers over slow and silent links."""
 
 import asyncio
+import contextlib
 import json
 import time
 import typing
@@ -10,6 +11,7 @@
 from _savoryhaven import errors
 from _savoryhaven.tracking import platform
 from _savoryhaven.tracking import settings
+from savoryhaven_standins import platform as platform_standin
 
 HOST = '127.0.0.1'
 TIMEOUT_S = 0.4
@@ -30,6 +32,15 @@
 
     app = web.Application()
     app.add_routes([web.get('/objects/{kind}/{name}', answer)])
+    async with connect_to(app) as client:
+        return await client.read_object('routing', 'document')
+
+
+@contextlib.asynccontextmanager
+async def connect_to(
+    app: web.Application,
+) -> typing.AsyncIterator[platform.HttpPlatform]:
+    """Serve an application, and yield a client of it."""
     runner = web.AppRunner(app, shutdown_timeout=0.1)
     await runner.setup()
     site = web.TCPSite(runner, HOST, 0)
@@ -41,7 +52,7 @@
         )
     )
     try:
-        return await client.read_object('routing', 'document')
+        yield client
     finally:
         await client.close()
         await runner.cleanup()
@@ -66,3 +77,42 @@
     else:
         raise AssertionError('a stalled answer was waited for')
     assert time.monotonic() - began_at < 4 * TIMEOUT_S
+
+
+def test_objects_of_a_kind_are_listed_watched_and_deleted() -> None:
+    async def run() -> None:
+        app = platform_standin.Platform().build_app()
+        async with connect_to(app) as client:
+            first = await client.list_objects('evacuations')
+            assert first.names == ()
+            unchanged = await client.watch_objects(
+                'evacuations', first.revision, 0.05
+            )
+            assert unchanged is None
+            watch = asyncio.create_task(
+                client.watch_objects('evacuations', first.revision, 5.0)
+            )
+            await client.write_object('evacuations', 'a', {}, expected='')
+            await client.write_object('routing', 'document', {}, expected='')
+            found = await watch
+            assert found.names == ('a',)
+            assert found.revision > first.revision
+            assert await client.delete_object('evacuations', 'a')
+            assert not await client.delete_object('evacuations', 'a')
+            last = await client.list_objects('evacuations')
+            assert last.names == ()
+            assert last.revision > found.revision
+
+    asyncio.run(run())
+
+
+def test_a_platform_without_lists_has_no_objects_of_a_kind() -> None:
+    """Guards against errors of VMs whose platform is not yet replaced."""
+
+    async def run() -> None:
+        async with connect_to(web.Application()) as client:
+            found = await client.list_objects('evacuations')
+            assert (found.revision, found.names) == (0, ())
+            assert await client.watch_objects('evacuations', 0, 0.1) == found
+
+    asyncio.run(run())
