--- a/packages/savoryhaven-ctl/src/_savoryhaven_ctl/commands.py
+++ b/packages/savoryhaven-ctl/src/_savoryhaven_ctl/commands.py
@@ -22,6 +22,7 @@
 from _savoryhaven.tracking import schema
 from _savoryhaven.tracking import settings
 from _savoryhaven_ctl import editing
+from _savoryhaven_ctl import evacuations
 from _savoryhaven_ctl import explaining
 from _savoryhaven_ctl import fleet
 from _savoryhaven_ctl import summarizing
@@ -372,6 +373,80 @@
         return 0
 
 
+class EvacuateCommand(_Command):
+    """Evacuates a failure domain."""
+
+    name = 'evacuate'
+    description = 'Let no new flows go to the upstreams of a failure domain.'
+    help = (
+        'VMs with owned flows and the setting platform.evacuation open no '
+        'new flows at upstreams of the domain; open flows stay there. '
+        'Services that have no other upstream refuse new flows: they are '
+        'named on standard error.\n\n'
+        'Exit status: 0, or 1 if the domain is unknown or the platform does '
+        'not answer.'
+    )
+    arguments = [argument('domain', 'A failure domain of the document.')]
+    options = [_PLATFORM, _JSON, _TIMEOUT]
+
+    async def run_command(self) -> int:
+        """Write the object, and warn of services without upstreams."""
+        change = await self._open_evacuations().evacuate(
+            self.argument('domain')
+        )
+        if change.without_upstreams and not self._wants_json():
+            self.line_error(
+                'warning: no upstream is left of '
+                f'{", ".join(change.without_upstreams)}; new flows are refused'
+            )
+        self._show_change(change, evacuated=True)
+        return 0
+
+    def _open_evacuations(self) -> evacuations.Evacuations:
+        return evacuations.Evacuations(
+            self._client, timeout_s=self._get_timeout()
+        )
+
+    def _show_change(
+        self, change: evacuations.Change, *, evacuated: bool
+    ) -> None:
+        state = 'evacuated' if evacuated else 'restored'
+        text = f'failure domain {change.failure_domain} is {state}'
+        if not change.changed:
+            text += ', as before'
+        self._show(
+            text,
+            {
+                'failure_domain': change.failure_domain,
+                'evacuated': evacuated,
+                'changed': change.changed,
+                'without_upstreams': list(change.without_upstreams),
+            },
+        )
+
+
+class RestoreCommand(EvacuateCommand):
+    """Ends the evacuation of a failure domain."""
+
+    name = 'restore'
+    description = 'End the evacuation of a failure domain.'
+    help = (
+        'New flows go to the upstreams of the domain again. A domain that '
+        'has left the document meanwhile can be restored too.\n\n'
+        'Exit status: 0, or 1 if the domain is unknown or the platform does '
+        'not answer.'
+    )
+    arguments = [argument('domain', 'An evacuated failure domain.')]
+
+    async def run_command(self) -> int:
+        """Delete the object."""
+        change = await self._open_evacuations().restore(
+            self.argument('domain')
+        )
+        self._show_change(change, evacuated=False)
+        return 0
+
+
 def _render(value: typing.Any) -> list[str]:
     return json.dumps(value, indent=2, sort_keys=True).splitlines()
 
@@ -391,6 +466,8 @@
         StatusCommand(),
         DumpCommand(),
         DrainCommand(),
+        EvacuateCommand(),
+        RestoreCommand(),
         explaining.ExplainCommand(),
         summarizing.TimelineCommand(),
         tabulating.LoadsCommand(),
--- a/packages/savoryhaven-ctl/src/_savoryhaven_ctl/tables.py
+++ b/packages/savoryhaven-ctl/src/_savoryhaven_ctl/tables.py
@@ -22,8 +22,9 @@
 def print_fleet(statuses: list[fleet.VmStatus]) -> None:
     """Print the status of VMs on the platform's list."""
     shown = rich_table.Table(
-        'VM', 'domain', 'listed', 'state', 'generation', 'flows', 'platform'
-    )
+        'VM', 'domain', 'listed', 'state', 'generation', 'evacuated', 'flows',
+        'platform',
+    )  # fmt: skip
     for found in statuses:
         status = found.status or {}
         reachable = status.get('platform_reachable')
@@ -33,6 +34,7 @@
             found.state,
             status.get('state', 'no answer'),
             str(status.get('generation', '-')),
+            ', '.join(status.get('evacuated_domains', ())) or '-',
             str(status.get('flows', '-')),
             {True: 'reachable', False: 'silent', None: '-'}[reachable],
         )
