--- a/packages/savoryhaven-ctl/src/_savoryhaven_ctl/tables.py
+++ b/packages/savoryhaven-ctl/src/_savoryhaven_ctl/tables.py
@@ -1,5 +1,6 @@
 """Tables of VMs for terminal output; scripts use JSON."""
 
+import collections
 import typing
 
 from rich import console as rich_console
@@ -47,7 +48,7 @@
     """Print the status of VMs that balance by tags, by operator address."""
     shown = rich_table.Table(
         'address', 'VM', 'domain', 'state', 'configuration', 'age',
-        'upstreams', 'age', 'flows', 'peers',
+        'upstreams', 'age', 'flows', 'peers', 'evacuated',
     )  # fmt: skip
     for address, status in statuses.items():
         if status is None:
@@ -65,8 +66,32 @@
             _format_age(status['catalogue_age_s']),
             str(status['flows']),
             str(len(status['peers'])),
+            ', '.join(_list_evacuated(status)) or '-',
         )
-    make_console().print(shown)
+    console = make_console()
+    console.print(shown)
+    answers = [status for status in statuses.values() if status is not None]
+    for line in summarize_evacuations(answers):
+        console.print(line)
+
+
+def summarize_evacuations(
+    statuses: typing.Sequence[dict[str, typing.Any]],
+) -> list[str]:
+    """Return for each evacuated failure domain how many VMs know of it."""
+    counts = collections.Counter(
+        domain for status in statuses for domain in _list_evacuated(status)
+    )
+    return [
+        f'{domain}: evacuated on {count} of {len(statuses)} VMs'
+        for domain, count in sorted(counts.items())
+    ]
+
+
+def _list_evacuated(status: dict[str, typing.Any]) -> list[str]:
+    """Return the domains that a VM knows as evacuated; older VMs know none."""
+    evacuations = status.get('evacuations') or {'domains': []}
+    return [item['domain'] for item in evacuations['domains']]
 
 
 def _format_age(age_s: float | None) -> str:
--- a/packages/savoryhaven/src/_savoryhaven/datapath/flows.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/flows.py
@@ -5,6 +5,7 @@
 when its client acknowledges more bytes.
 """
 
+import collections
 import math
 import typing
 
@@ -78,6 +79,12 @@
         """Return a flow, or None."""
         return self._flows.get(key)
 
+    def count_by_domain(self) -> collections.Counter[str]:
+        """Return how many flows the upstreams of each failure domain have."""
+        return collections.Counter(
+            flow.state.upstream.failure_domain for flow in self._flows.values()
+        )
+
     def observe(
         self,
         flow: ObservedFlow | None,
--- a/packages/savoryhaven/src/_savoryhaven/operation/node.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/node.py
@@ -214,6 +214,7 @@
             failure_domain=self.settings.failure_domain,
             data_address=self.settings.data_address,
             store=self.settings.store.address,
+            link_mbps=self.settings.link_mbps,
             seeds=list(self.settings.peers.seeds),
         )
         self._tasks.append(asyncio.create_task(self._read_when_informed()))
--- a/packages/savoryhaven/src/_savoryhaven/operation/pages.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/pages.py
@@ -13,9 +13,11 @@
 import attrs
 
 from _savoryhaven.knowledge import catalogue as catalogue_module
+from _savoryhaven.knowledge import evacuations as evacuations_module
 from _savoryhaven.operation import counters as counters_module
 from _savoryhaven.operation import http
 from _savoryhaven.placement import selection
+from _savoryhaven.placement import slow_start as slow_start_module
 
 if typing.TYPE_CHECKING:
     from _savoryhaven.operation import metrics
@@ -76,6 +78,16 @@
                 lambda: node.read_age(node.catalogue.confirmed_at),
                 'time since the upstreams were known to be the newest',
             ),
+            metrics.Gauge(
+                'evacuated_domains',
+                lambda: len(_list_evacuated(node)),
+                'failure domains whose upstreams get no new flows',
+            ),
+            metrics.Gauge(
+                'cold_upstreams',
+                lambda: len(_list_cold(node)),
+                'upstreams that get few new flows, as they are cold',
+            ),
             metrics.Gauge(
                 'peers',
                 lambda: len(node.members.list_live(node.read_time())),
@@ -113,12 +125,57 @@
         'catalogue_age_s': _round(node.read_age(node.catalogue.confirmed_at)),
         'upstreams': len(node.catalogue.list_present()),
         'flows': len(node.forwarder.flows),
+        'evacuations': _describe_evacuations(node, now),
+        'cold_upstreams': len(_list_cold(node)),
         'peers': sorted(
             member.address.vm_id for member in node.members.list_live(now)
         ),
     }
 
 
+def _list_evacuated(
+    node: 'node_module.Node',
+) -> list[evacuations_module.Evacuation]:
+    evacuations = node.evacuations
+    return [] if evacuations is None else evacuations.list_domains()
+
+
+def _list_cold(
+    node: 'node_module.Node',
+) -> list[slow_start_module.ColdUpstream]:
+    if node.slow_start is None:
+        return []
+    return node.slow_start.list_cold(node.read_time())
+
+
+def _describe_evacuations(
+    node: 'node_module.Node', now: float
+) -> dict[str, typing.Any] | None:
+    """Return the evacuated failure domains, None if the feature is off.
+
+    ``flows`` are the open flows through this VM whose upstreams are there;
+    they stay until their clients or upstreams end them.
+    """
+    evacuations = node.evacuations
+    if evacuations is None:
+        return None
+    domains = _list_evacuated(node)
+    flows = node.forwarder.flows.count_by_domain() if domains else {}
+    return {
+        'position': evacuations.position,
+        'age_s': _round(node.read_age(evacuations.confirmed_at)),
+        'domains': [
+            {
+                'domain': item.domain,
+                'for_s': round(now - item.since, 3),
+                'position': item.position,
+                'flows': flows.get(item.domain, 0),
+            }
+            for item in domains
+        ],
+    }
+
+
 def build_dump(node: 'node_module.Node') -> dict[str, typing.Any]:
     """Return the whole state of the process; flows are only counted."""
     now = node.read_time()
@@ -147,6 +204,10 @@
             _describe_state(state, now)
             for state in node.catalogue.list_states()
         ],
+        'cold_upstreams': [
+            attrs.asdict(item) | {'remaining_s': round(item.remaining_s, 3)}
+            for item in _list_cold(node)
+        ],
         'members': [
             {**attrs.asdict(address), 'live': address.vm_id in live}
             for address in node.members.list_addresses()
--- a/packages/savoryhaven/src/_savoryhaven/placement/slow_start.py
+++ b/packages/savoryhaven/src/_savoryhaven/placement/slow_start.py
@@ -143,6 +143,21 @@
     return start + (1.0 - start) * since_s / ramp_s
 
 
+@attrs.frozen(kw_only=True, eq=False, repr=False)
+class ColdUpstream:
+    """A cold upstream, and how much of its limit this VM has used.
+
+    ``remaining_s`` is the rest of its cold time in seconds, ``openings`` the
+    openings of this VM within ``WINDOW_S``, ``designated`` whether this VM
+    was the designated one at its last opening for the service.
+    """
+
+    upstream_id: str
+    remaining_s: float
+    openings: int
+    designated: bool
+
+
 @attrs.define(eq=False, repr=False)
 class _Slowed:
     """An upstream that is or was cold.
@@ -385,6 +400,19 @@
         self._refresh(item, now)
         return item.cold
 
+    def list_cold(self, now: float) -> list[ColdUpstream]:
+        """Return the upstreams that are cold, for operators."""
+        return [
+            ColdUpstream(
+                upstream_id=upstream_id,
+                remaining_s=item.until - now,
+                openings=item.count_openings(now),
+                designated=item.view is not None and item.rank == 0,
+            )
+            for upstream_id, item in sorted(self._slowed.items())
+            if item.cold and item.until > now
+        ]
+
     def count_kept(self) -> int:
         """Return the number of upstreams of which something is kept."""
         return len(self._slowed)
--- a/packages/savoryhaven/tests/test_evacuations.py
+++ b/packages/savoryhaven/tests/test_evacuations.py
@@ -16,6 +16,7 @@
 from _savoryhaven.knowledge import records
 from _savoryhaven.operation import counters
 from _savoryhaven.operation import node as node_module
+from _savoryhaven.operation import pages
 from _savoryhaven.operation import settings as settings_module
 from _savoryhaven.placement import upstreams
 from savoryhaven_standins import tagged
@@ -599,3 +600,30 @@
     assert node.evacuations is None
     assert node._is_informed()
     assert node.is_ready()
+
+
+def test_the_status_page_shows_evacuations_and_flows_that_stay() -> None:
+    node = make_node(evacuation=True)
+    assert pages.build_status(node)['evacuations'] == {
+        'position': 0,
+        'age_s': None,
+        'domains': [],
+    }
+    now = node.read_time()
+    request = {'tag': tagged.make_upstream(1).tag, 'payload_bytes': 90}
+    packet = node._platform.codec.decode(tagged.make_packet(**request))
+    state = node.catalogue.by_tag[packet.tag]
+    node.forwarder.flows.observe(None, packet, state, now)
+    node.evacuations.adopt(('a',), 110, source='h', confirmed_at=now, now=now)
+    node._clock.now += 2.0
+    status = pages.build_status(node)
+    assert status['evacuations']['domains'] == [
+        {'domain': 'a', 'for_s': 2.0, 'position': 110, 'flows': 1}
+    ]
+    assert status['cold_upstreams'] == 0
+    assert pages.build_dump(node)['cold_upstreams'] == []
+
+
+def test_the_status_page_of_a_vm_without_evacuations_says_so() -> None:
+    node = make_node(evacuation=False)
+    assert pages.build_status(node)['evacuations'] is None
