Soak: evacuations at random, with the bound of the contract

--evacuations evacuates and restores a zone beside the other faults; an opening that reaches it after 5 s with contact to the store is a violation.

--- a/packages/savoryhaven-standins/src/savoryhaven_standins/soak.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/soak.py
@@ -6,7 +6,8 @@
 that is silent, busy, slow or drops its history, connections to it that are
 delayed, reset or silent in one or both directions, hosts that crash or drain
 and are replaced, lost packets. With ``--restores`` the store comes back from
-older copies as well. What clients and hosts observe is checked
+older copies as well; with ``--evacuations`` the operator evacuates and
+restores a zone. What clients and hosts observe is checked
 against the guarantees of the users' pages. The seed determines the sequence
 of faults; the timing depends on the machine.
 """
@@ -30,6 +31,13 @@
 # new flows, and until a configuration is in force.
 DRAIN_BOUND_S = 3.0
 CONFIGURATION_BOUND_S = 3.0
+# From the store's answer to the evacuation of a zone until its last opening.
+EVACUATION_BOUND_S = 5.0
+# How long the zone is evacuated, and how long it is not.
+EVACUATION_LENGTH_S = (6.0, 12.0)
+EVACUATION_GAP_S = (1.0, 4.0)
+# The services have hosts in zone a, so that only this one is evacuated.
+EVACUATED_ZONE = 'b'
 # The bounds are suspended during a fault and for this time after it.
 SETTLING_S = 4.0
 VMS = 3
@@ -57,6 +65,14 @@
     desk_to: str
 
 
+@attrs.define
+class _Evacuation:
+    """When the store acknowledged an evacuation and its end."""
+
+    began: float
+    ended: float = float('inf')
+
+
 class Soak:
     """One run with one seed."""
 
@@ -68,6 +84,7 @@
         vms: int = VMS,
         plugins: tuple[str, ...] = (),
         restores: bool = False,
+        evacuations: bool = False,
     ) -> None:
         self.violations: list[str] = []
         self.outcomes: dict[Outcome, int] = dict.fromkeys(Outcome, 0)
@@ -77,6 +94,10 @@
         self._vms = vms
         self._plugins = plugins
         self._restores = restores
+        self._evacuates = evacuations
+        self.evacuations: list[_Evacuation] = []
+        # Faults in which VMs may have no contact with the store.
+        self._lost_contacts: list[tuple[float, float]] = []
         # Choices of callers and faults depend on timing. The schedule has its
         # own generator, so that a seed gives the same faults on any machine.
         self._random = random.Random(seed)
@@ -95,6 +116,8 @@
             hosts=HOSTS,
             seed=self._seed,
             plugins=self._plugins,
+            zones=('a', EVACUATED_ZONE) if self._evacuates else ('a',),
+            evacuation=self._evacuates,
         ) as site:
             self._site = site
             self._versions.append(_ConfigurationVersion(_now(), 1, 'desk'))
@@ -102,6 +125,8 @@
                 asyncio.create_task(self._call(site.add_client()))
                 for _ in range(CALLERS)
             ]
+            if self._evacuates:
+                self._tasks.add(asyncio.create_task(self._evacuate()))
             await self._inject()
             await asyncio.gather(*self._tasks)
             for caller in callers:
@@ -168,6 +193,18 @@
             task = asyncio.create_task(self._run_fault(action, length_s))
             self._tasks.add(task)
 
+    async def _evacuate(self) -> None:
+        """Evacuate and restore a zone until the last fault."""
+        end = _now() + self._seconds
+        while _now() < end:
+            await asyncio.sleep(self._random.uniform(*EVACUATION_GAP_S))
+            began = await self._site.evacuate(EVACUATED_ZONE)
+            self.evacuations.append(_Evacuation(began))
+            await asyncio.sleep(self._random.uniform(*EVACUATION_LENGTH_S))
+            # From the call on, as its answer comes later.
+            self.evacuations[-1].ended = _now()
+            await self._site.restore_zone(EVACUATED_ZONE)
+
     async def _run_fault(
         self,
         action: typing.Callable[[float], typing.Awaitable[None]],
@@ -178,6 +215,13 @@
         self._fault_periods.append((began, float('inf')))
         await action(length_s)
         self._fault_periods[index] = (began, _now())
+        if action in (
+            self._pause_vm,
+            self._spoil_store,
+            self._spoil_link,
+            self._restore_store,
+        ):
+            self._lost_contacts.append((began, _now()))
 
     def _pick_vm(self) -> str | None:
         """Return a running VM without a fault that ends or pauses it."""
@@ -263,13 +307,13 @@
         host.crash()
         await asyncio.sleep(length_s)
         await self._site.store.delete('servers', host.name)
-        await self._site.add_host(host.service)
+        await self._site.add_host(host.service, host.zone)
 
     async def _drain_host(self, length_s: float) -> None:
         host = self._pick_host()
         if host is None:
             return
-        await self._site.add_host(host.service)
+        await self._site.add_host(host.service, host.zone)
         await host.drain()
         await asyncio.sleep(DRAIN_BOUND_S + length_s)
         await host.leave()
@@ -303,6 +347,10 @@
                 await host.register()
             else:
                 await self._site.store.delete('servers', host.name)
+        if self.evacuations and self.evacuations[-1].ended == float('inf'):
+            await self._site.evacuate(EVACUATED_ZONE)
+        elif self._evacuates:
+            await self._site.restore_zone(EVACUATED_ZONE)
         last = self._versions[-1]
         await self._site.configure(last.number, desk_to=last.desk_to)
 
@@ -341,6 +389,17 @@
             self._add_violation(
                 f'{host.name} got a flow {at - drained:.1f} s after its drain'
             )
+        for evacuation in self.evacuations:
+            if (
+                host.zone == EVACUATED_ZONE
+                and at < evacuation.ended
+                and self._measure_contact(evacuation.began, at)
+                > EVACUATION_BOUND_S
+            ):
+                self._add_violation(
+                    f'{host.name} got a flow {at - evacuation.began:.1f} s '
+                    'after the evacuation of its zone'
+                )
         if service == site_module.VAULT:
             allowed = {'vault'}
         else:
@@ -375,6 +434,22 @@
                 cursor = end
         return undisturbed_s > bound_s
 
+    def _measure_contact(self, since: float, at: float) -> float:
+        """Return for how long all VMs had contact with the store.
+
+        No time to settle is added: a VM that knew of an evacuation before it
+        lost contact still knows.
+        """
+        contact_s = at - since
+        cursor = since
+        for began, ended in sorted(self._lost_contacts):
+            start = max(cursor, began)
+            end = min(at, ended)
+            if end > start:
+                contact_s -= end - start
+                cursor = end
+        return contact_s
+
     def _check_processes(self) -> None:
         for name, process in self._site.processes.running.items():
             if process.returncode is not None:
@@ -404,6 +479,7 @@
     parser.add_argument('--seeds', default='1-3', help='FIRST-LAST')
     parser.add_argument('--seconds', type=float, default=20.0)
     parser.add_argument('--restores', action='store_true')
+    parser.add_argument('--evacuations', action='store_true')
     parser.add_argument('--vms', type=int, default=VMS)
     options = parser.parse_args()
     # Raise KeyboardInterrupt on SIGTERM, so that child processes are stopped.
@@ -412,7 +488,11 @@
     failed = []
     for seed in range(int(first), int(last or first) + 1):
         soak = run_seed(
-            seed, options.seconds, vms=options.vms, restores=options.restores
+            seed,
+            options.seconds,
+            vms=options.vms,
+            restores=options.restores,
+            evacuations=options.evacuations,
         )
         counts = {o.value: n for o, n in soak.outcomes.items() if n}
         print(f'seed {seed}: {len(soak.faults)} faults, {counts}', flush=True)
--- a/packages/savoryhaven-standins/tests/test_soak.py
+++ b/packages/savoryhaven-standins/tests/test_soak.py
@@ -28,6 +28,14 @@
     assert run.outcomes[soak.Outcome.SERVED] > 100
 
 
+def test_short_soak_with_evacuations_has_no_violations() -> None:
+    # Long enough for openings after the bound of an evacuation.
+    run = soak.run_seed(91, 2 * SECONDS, evacuations=True)
+    assert run.evacuations
+    assert not run.violations, (run.violations, run.faults)
+    assert run.outcomes[soak.Outcome.SERVED] > 100
+
+
 def test_soak_detects_vm_that_resets_unknown_flows() -> None:
     # With this seed, faults kill a VM and stop another while flows are open.
     run = soak.run_seed(
