--- a/packages/savoryhaven/src/_savoryhaven/placement/slow_start.py
+++ b/packages/savoryhaven/src/_savoryhaven/placement/slow_start.py
@@ -34,9 +34,11 @@
 # The part of its fair share of openings that an upstream may get right after
 # it was cold.
 RAMP_START_SHARE = 0.1
-# In a short ramp the first half second would be more than doubled by the
-# second one, so it starts higher.
+# A ramp of 2 s from 10 % would more than double from the first half second to
+# the second one. Short ramps start higher, so that it grows by this factor;
+# the margin below 2 is for the randomness of the draws.
 RAMP_STEP_S = 0.5
+RAMP_GROWTH = 1.8
 # How long a list of the live VMs is used: members change within seconds.
 VIEW_LIFETIME_S = 0.3
 # A VM that was paused for a third of the time after which members without
@@ -129,14 +131,16 @@
 def compute_ramp_share(since_s: float, ramp_s: float) -> float:
     """Return the part of its fair share for an upstream that was cold.
 
-    It rises linearly within ``ramp_s`` to 1, and at most doubles from one
-    half second to the next: with the start at ``s`` and a half second being
-    the part ``h`` of the ramp, that needs ``s >= h / (2 + h)``.
+    It rises linearly within ``ramp_s`` to 1, and grows at most by the factor
+    ``g``, ``RAMP_GROWTH``, from one half second to the next. From a start
+    ``s``, with ``h`` being the part of the ramp that half a second is, that
+    needs ``s (g - 1) >= (1 - s) h (3 - g) / 2``.
     """
     if since_s >= ramp_s:
         return 1.0
     part = min(1.0, RAMP_STEP_S / ramp_s)
-    start = max(RAMP_START_SHARE, part / (2.0 + part))
+    part *= (3.0 - RAMP_GROWTH) / 2.0 / (RAMP_GROWTH - 1.0)
+    start = max(RAMP_START_SHARE, part / (1.0 + part))
     return start + (1.0 - start) * since_s / ramp_s
 
 
