--- a/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
@@ -582,7 +582,6 @@
                 answer = await getattr(self.store, name)(*arguments)
                 if not self.cut:
                     return answer
-            # The time-out is the last argument, except for pages of lists.
             await asyncio.sleep(1.2)
             raise errors.PlatformError(
                 errors.Problem(code='SH301', message='no connection')
--- a/packages/savoryhaven/tests/test_evacuated_fleets.py
+++ b/packages/savoryhaven/tests/test_evacuated_fleets.py
@@ -162,7 +162,6 @@
         fleet.store.revision = positions.make_position(1, 500)
         fleet.store.evacuate('a')
         fleet.store.evacuate('b')
-        # The fake reports a new era for upstreams as a change.
         await fleet.measure(excludes('a', 'b'), limit_s=CONTRACT_S)
         fleet.store.come_back(positions.make_position(2, 300))
         await fleet.run(2.0)
