--- a/packages/savoryhaven-ctl/src/_savoryhaven_ctl/commands.py
+++ b/packages/savoryhaven-ctl/src/_savoryhaven_ctl/commands.py
@@ -373,7 +373,33 @@
         return 0
 
 
-class EvacuateCommand(_Command):
+class _EvacuationCommand(_Command):
+    """Changes an evacuation, and shows the change."""
+
+    def _open_evacuations(self) -> evacuations.Evacuations:
+        return evacuations.Evacuations(
+            self._client, timeout_s=self._get_timeout()
+        )
+
+    def _show_change(
+        self, change: evacuations.Change, *, evacuated: bool
+    ) -> None:
+        state = 'evacuated' if evacuated else 'restored'
+        text = f'failure domain {change.failure_domain} is {state}'
+        if not change.changed:
+            text += ', as before'
+        self._show(
+            text,
+            {
+                'failure_domain': change.failure_domain,
+                'evacuated': evacuated,
+                'changed': change.changed,
+                'without_upstreams': list(change.without_upstreams),
+            },
+        )
+
+
+class EvacuateCommand(_EvacuationCommand):
     """Evacuates a failure domain."""
 
     name = 'evacuate'
@@ -402,30 +428,8 @@
         self._show_change(change, evacuated=True)
         return 0
 
-    def _open_evacuations(self) -> evacuations.Evacuations:
-        return evacuations.Evacuations(
-            self._client, timeout_s=self._get_timeout()
-        )
 
-    def _show_change(
-        self, change: evacuations.Change, *, evacuated: bool
-    ) -> None:
-        state = 'evacuated' if evacuated else 'restored'
-        text = f'failure domain {change.failure_domain} is {state}'
-        if not change.changed:
-            text += ', as before'
-        self._show(
-            text,
-            {
-                'failure_domain': change.failure_domain,
-                'evacuated': evacuated,
-                'changed': change.changed,
-                'without_upstreams': list(change.without_upstreams),
-            },
-        )
-
-
-class RestoreCommand(EvacuateCommand):
+class RestoreCommand(_EvacuationCommand):
     """Ends the evacuation of a failure domain."""
 
     name = 'restore'
@@ -437,6 +441,7 @@
         'not answer.'
     )
     arguments = [argument('domain', 'An evacuated failure domain.')]
+    options = [_PLATFORM, _JSON, _TIMEOUT]
 
     async def run_command(self) -> int:
         """Delete the object."""
