Spill flows over to other backends of their route

A route with several backends gave each service its share by weight even if the service had no usable upstream or only full ones, so openings were refused while another backend was idle.

placement/spillover.py tries the service drawn by weight first, then the other services of the route that have a weight, the heaviest first. Suspects and upstreams that got earlier copies are used only if no service has anything else. A copy goes first to the service where its opening is pending, which is not asked for admission again. Refusals give the reason of the first service; spilled openings are logged (opening_spilled) and counted.

Routes with one backend take the path they took before.

--- a/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
@@ -21,6 +21,7 @@
 from _savoryhaven.placement import admission
 from _savoryhaven.placement import answers
 from _savoryhaven.placement import selection
+from _savoryhaven.placement import spillover
 from _savoryhaven.placement import upstreams
 
 # An unknown route is refused only if the configuration was confirmed within
@@ -302,21 +303,67 @@
         if opening is not None:
             opening.state.note_failure(opening.sent_at, now)
             excluded = opening.tried_tags
-        choice = selection.choose_upstream(
-            self._catalogue.list_service(service),
-            selection.ChoiceContext(
-                now=now,
-                failure_domain=self._failure_domain,
-                excluded=excluded,
-                source=self._random,
-            ),
+        context = selection.ChoiceContext(
+            now=now,
+            failure_domain=self._failure_domain,
+            excluded=excluded,
+            source=self._random,
         )
+        if len(route.backends) > 1:
+            self._receive_spillable(packet, route, service, opening, context)
+            return
+        choice = self._choose_upstream(service, context)
         match choice:
             case selection.Chosen():
                 self._admit(packet, route, choice, opening, now)
             case selection.NoUpstream(reason):
                 self._decide_without_upstream(packet, service, reason, now)
 
+    def _choose_upstream(
+        self, service: str, context: selection.ChoiceContext
+    ) -> selection.Choice:
+        return selection.choose_upstream(
+            self._catalogue.list_service(service), context
+        )
+
+    def _receive_spillable(
+        self,
+        packet: packets.FlowPacket,
+        route: records.Route,
+        drawn: str,
+        opening: openings_module.Opening | None,
+        context: selection.ChoiceContext,
+    ) -> None:
+        """Place an opening of a route with several backends."""
+        now = context.now
+        pending = opening.state.upstream.service if opening else None
+        services = spillover.list_services(route.backends, drawn, pending)
+        placement = spillover.place_flow(
+            services,
+            context,
+            choose=lambda service: self._choose_upstream(service, context),
+            check=lambda choice: self._find_refusal(route, choice.state),
+            pending=pending,
+        )
+        match placement:
+            case spillover.Placed(service, choice, reason):
+                if reason:
+                    self._counters[_Count.SPILLED] += 1
+                    self._emit_opening(
+                        'opening_spilled',
+                        packet,
+                        now,
+                        route=route.name,
+                        service=services[0],
+                        to_service=service,
+                        reason=reason,
+                    )
+                self._open(packet, route, choice, opening, now)
+            case spillover.Unplaced(reason) if self._catalogue.revision:
+                self._refuse(packet, reason, now)
+            case spillover.Unplaced(reason):
+                self._drop_uninformed(packet, reason, now)
+
     def _admit(
         self,
         packet: packets.FlowPacket,
@@ -329,15 +376,21 @@
 
         Copies of an opening that was admitted are not refused.
         """
-        service_time = self._service_times.get(route.destination)
-        if (
-            opening is not None
-            or service_time is None
-            or not service_time.known
-        ):
+        reason = ''
+        if opening is None:
+            reason = self._find_refusal(route, choice.state)
+        if reason:
+            self._refuse(packet, reason, now)
+        else:
             self._open(packet, route, choice, opening, now)
-            return
-        state = choice.state
+
+    def _find_refusal(
+        self, route: records.Route, state: upstreams.UpstreamState
+    ) -> str:
+        """Return why an upstream does not admit a flow, '' if it does."""
+        service_time = self._service_times.get(route.destination)
+        if service_time is None or not service_time.known:
+            return ''
         decision = admission.decide_admission(
             admission.make_latency_budget(
                 route.target_latency_s, route.priority
@@ -348,13 +401,9 @@
         )
         match decision:
             case admission.Admitted():
-                self._open(packet, route, choice, opening, now)
+                return ''
             case admission.Refused(expected_s):
-                self._refuse(
-                    packet,
-                    f'an answer is expected after {expected_s:.3f} s',
-                    now,
-                )
+                return f'an answer is expected after {expected_s:.3f} s'
 
     def _open(
         self,
--- a/packages/savoryhaven/src/_savoryhaven/operation/counters.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/counters.py
@@ -18,6 +18,7 @@
     OPENED = 'openings sent to an upstream'
     REPEATED = 'copies of openings sent to the same upstream'
     MOVED = 'copies of openings sent to a further upstream'
+    SPILLED = 'openings sent to another service than their first one'
     REFUSED = 'openings reset: no route, or no upstream for it'
     RESET = 'open flows reset: their upstream has ended'
     ANSWERED = 'requests whose answers clients acknowledged'
--- a/packages/savoryhaven/src/_savoryhaven/placement/selection.py
+++ b/packages/savoryhaven/src/_savoryhaven/placement/selection.py
@@ -138,18 +138,24 @@
 def _find_due_retry(
     states: list[upstreams.UpstreamState], now: float
 ) -> upstreams.UpstreamState | None:
-    """Return a suspect that is due for a retry.
+    """Return a suspect that is due for a retry."""
+    for state in states:
+        if is_retry_due(state, now):
+            return state
+    return None
+
+
+def is_retry_due(state: upstreams.UpstreamState, now: float) -> bool:
+    """Return whether an upstream is a suspect that is due for a retry.
 
     Only suspects with a single failure are retried, as a lost packet looks
     the same. After more failures an upstream stays suspect until it answers,
     the store removes it, or the suspicion expires.
     """
-    for state in states:
-        if state.failures == 1 and has_failed(state, now):
-            since = max(state.retried_at, state.failed_at)
-            if now - since >= RETRY_INTERVAL_S:
-                return state
-    return None
+    if state.failures != 1 or not has_failed(state, now):
+        return False
+    since = max(state.retried_at, state.failed_at)
+    return now - since >= RETRY_INTERVAL_S
 
 
 def compute_cost(
