Give slow upstreams fewer flows (uneven_upstreams)

The selection knew only how many requests wait at an upstream, so an idle slow upstream got as many flows as an idle fast one.

With the setting uneven_upstreams, placement/service_times.py averages the logarithms of service times per route and upstream. An upstream that takes at least twice as long as its route has a factor (up to 8); the selection applies it like the factor of a warm-up. Short answers are left out, a restart discards the factor, and changes are logged and counted. Off by default: the forwarder then keeps nothing and factors stay 1.

--- a/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
@@ -158,6 +158,7 @@
         failure_domain: str = 'a',
         seed: int = 1,
         clock: typing.Any = None,
+        uneven_upstreams: bool = False,
     ) -> None:
         self.clock = clock or ManualClock()
         self.codec = JsonCodec()
@@ -183,6 +184,7 @@
             counters=self.counters,
             events=self.events,
             source=random.Random(seed),
+            uneven_upstreams=uneven_upstreams,
         )
 
     def _record_requested_tag(self, tag: int, now: float) -> None:
--- a/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
@@ -21,6 +21,7 @@
 from _savoryhaven.placement import admission
 from _savoryhaven.placement import answers
 from _savoryhaven.placement import selection
+from _savoryhaven.placement import service_times
 from _savoryhaven.placement import spillover
 from _savoryhaven.placement import upstreams
 
@@ -73,6 +74,7 @@
         counters: counters_module.Counters,
         events: events_module.EventLog,
         source: random.Random,
+        uneven_upstreams: bool = False,
     ) -> None:
         self._codec: typing.Final = codec
         self._routes: typing.Final = routes
@@ -86,6 +88,9 @@
         self.openings: typing.Final = openings_module.Openings(OPENING_LIMIT)
         self._service_times: dict[records.Destination, admission.ServiceTime]
         self._service_times = {}
+        self._uneven: typing.Final = (
+            service_times.ServiceTimes() if uneven_upstreams else None
+        )
         self._answer_lengths: dict[records.Destination, answers.AnswerLengths]
         self._answer_lengths = {}
         self.answer_latency: typing.Final = counters_module.Histogram()
@@ -181,6 +186,13 @@
             self._service_times.setdefault(
                 packet.key[2:], admission.ServiceTime()
             ).record(observation.latency_s, observation.load_at_start)
+            if self._uneven is not None:
+                self._uneven.note_answer(
+                    packet.key,
+                    state,
+                    observation.latency_s,
+                    observation.load_at_start,
+                )
         if observation.answer_bytes >= 0:
             self._check_answer_length(
                 packet, state, observation.answer_bytes, now
@@ -206,7 +218,18 @@
             packet.key[2:], answers.AnswerLengths()
         )
         usual_bytes = lengths.value
-        if not lengths.record(answer_bytes):
+        short = lengths.record(answer_bytes)
+        if self._uneven is not None and self._uneven.end_answer(
+            packet.key, short=short
+        ):
+            self._counters[_Count.SPEEDS_CHANGED] += 1
+            self._events.emit(
+                'upstream_speed_changed',
+                upstream=state.upstream.upstream_id,
+                factor=round(state.speed_factor, 2),
+                answers=state.speed.answers,
+            )
+        if not short:
             return
         state.note_failed_answer(now)
         self._counters[_Count.SHORT_ANSWERS] += 1
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/catalogue.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/catalogue.py
@@ -281,6 +281,7 @@
         state.lapsed = False
         if upstream.started_ms != before.started_ms:
             state.failures = 0
+            state.forget_speed()
         self._start_warm_up(state, now)
         return Added(upstream) if returned else Updated(upstream)
 
--- a/packages/savoryhaven/src/_savoryhaven/operation/counters.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/counters.py
@@ -23,6 +23,7 @@
     RESET = 'open flows reset: their upstream has ended'
     ANSWERED = 'requests whose answers clients acknowledged'
     SHORT_ANSWERS = 'answers much shorter than usual: perhaps errors'
+    SPEEDS_CHANGED = 'upstreams found to be slow, or no longer slow'
     DROPPED_MALFORMED = 'packets dropped: malformed'
     DROPPED_UNKNOWN_TAG = 'packets dropped: no upstream has their tag'
     DROPPED_UNINFORMED = 'openings dropped: too little is known as yet'
--- a/packages/savoryhaven/src/_savoryhaven/operation/node.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/node.py
@@ -105,6 +105,7 @@
             counters=self.counters,
             events=self.events,
             source=source,
+            uneven_upstreams=settings.uneven_upstreams,
         )
         self.gossip: typing.Final = gossip_module.Gossip(
             members=self.members,
--- a/packages/savoryhaven/src/_savoryhaven/placement/selection.py
+++ b/packages/savoryhaven/src/_savoryhaven/placement/selection.py
@@ -169,6 +169,8 @@
     load += LASTING_LOAD_WEIGHT * lasting
     if now < state.warm_up_ends_at:
         load = (load + 1.0) * WARM_UP_FACTOR - 1.0
+    if state.speed_factor != 1.0:
+        load = (load + 1.0) * state.speed_factor - 1.0
     cost = load / max(1, state.upstream.slots)
     if state.upstream.failure_domain != context.failure_domain:
         cost += REMOTE_DOMAIN_COST
--- a/packages/savoryhaven/src/_savoryhaven/placement/upstreams.py
+++ b/packages/savoryhaven/src/_savoryhaven/placement/upstreams.py
@@ -5,6 +5,7 @@
 import attrs
 
 from _savoryhaven.knowledge import records
+from _savoryhaven.placement import averages
 
 # Time constant of the recent load that is reported to peers: a few requests
 # long, so that a single request hardly changes it.
@@ -30,7 +31,8 @@
     that peers report, ``reported_failed_at`` the time of their last report of
     failed openings. ``lapsed`` is whether the upstream may still be alive, as
     it was removed just after an outage of the store. ``tag_taken`` is whether
-    another upstream has the tag.
+    another upstream has the tag. ``speed_factor`` is the ratio of its service
+    times to those of its route, ``speed`` the average of its logarithm.
     """
 
     upstream: records.Upstream
@@ -52,6 +54,10 @@
     removed_at: float = math.inf
     lapsed: bool = False
     tag_taken: bool = False
+    speed_factor: float = 1.0
+    speed: averages.RunningAverage = attrs.field(
+        factory=averages.RunningAverage
+    )
 
     @property
     def in_flight(self) -> int:
@@ -85,6 +91,11 @@
         self.update_averages(now)
         self.opening += change
 
+    def forget_speed(self) -> None:
+        """Discard what is known of the speed, as the upstream restarted."""
+        self.speed_factor = 1.0
+        self.speed = averages.RunningAverage()
+
     def note_answer(self, now: float) -> None:
         """Record that the upstream answered, and clear its failures."""
         self.answered_at = now
