--- a/packages/savoryhaven/src/_savoryhaven/operation/node.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/node.py
@@ -371,7 +371,12 @@
             return
         need_restart = [
             name
-            for name in ('vm_id', 'failure_domain', 'data_address')
+            for name in (
+                'vm_id',
+                'failure_domain',
+                'data_address',
+                'uneven_upstreams',
+            )
             if getattr(loaded, name) != getattr(self.settings, name)
         ]
         store_moved = loaded.store != self.settings.store
