--- a/benchmarks/run_all.py
+++ b/benchmarks/run_all.py
@@ -14,6 +14,7 @@
     'policies.py',
     'load_reports.py',
     'slow_start.py',
+    'uneven_backends.py',
     'capacity.py',
     'tagged_speed.py',
     'tagged_capacity.py',
--- a/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
@@ -175,6 +175,7 @@
         evacuation: bool = False,
         cold_start: settings_module.ColdStartSettings | None = None,
         live_vm_ids: frozenset[str] = frozenset({'vm'}),
+        uneven_upstreams: bool = False,
     ) -> None:
         self.clock = clock or ManualClock()
         self.codec = JsonCodec()
@@ -225,6 +226,7 @@
             source=random.Random(seed),
             evacuations=self.evacuations,
             cold_start=limits,
+            uneven_upstreams=uneven_upstreams,
         )
 
     def _record_requested_tag(self, tag: int, now: float) -> None:
--- a/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
@@ -22,7 +22,9 @@
 from _savoryhaven.placement import admission
 from _savoryhaven.placement import answers
 from _savoryhaven.placement import selection
+from _savoryhaven.placement import service_times
 from _savoryhaven.placement import slow_start as slow_start_module
+from _savoryhaven.placement import spillover
 from _savoryhaven.placement import upstreams
 
 # An unknown route is refused only if the configuration was confirmed within
@@ -84,6 +86,7 @@
         source: random.Random,
         evacuations: evacuations_module.Evacuations | None = None,
         cold_start: ColdStart | None = None,
+        uneven_upstreams: bool = False,
     ) -> None:
         self._codec: typing.Final = codec
         self._routes: typing.Final = routes
@@ -99,6 +102,9 @@
         self.openings: typing.Final = openings_module.Openings(OPENING_LIMIT)
         self._service_times: dict[records.Destination, admission.ServiceTime]
         self._service_times = {}
+        self._uneven: typing.Final = (
+            service_times.ServiceTimes() if uneven_upstreams else None
+        )
         self._answer_lengths: dict[records.Destination, answers.AnswerLengths]
         self._answer_lengths = {}
         self.answer_latency: typing.Final = counters_module.Histogram()
@@ -194,6 +200,13 @@
             self._service_times.setdefault(
                 packet.key[2:], admission.ServiceTime()
             ).record(observation.latency_s, observation.load_at_start)
+            if self._uneven is not None:
+                self._uneven.note_answer(
+                    packet.key,
+                    state,
+                    observation.latency_s,
+                    observation.load_at_start,
+                )
         if observation.answer_bytes >= 0:
             self._check_answer_length(
                 packet, state, observation.answer_bytes, now
@@ -219,7 +232,18 @@
             packet.key[2:], answers.AnswerLengths()
         )
         usual_bytes = lengths.value
-        if not lengths.record(answer_bytes):
+        short = lengths.record(answer_bytes)
+        if self._uneven is not None and self._uneven.end_answer(
+            packet.key, short=short
+        ):
+            self._counters[_Count.SPEEDS_CHANGED] += 1
+            self._events.emit(
+                'upstream_speed_changed',
+                upstream=state.upstream.upstream_id,
+                factor=round(state.speed_factor, 2),
+                answers=state.speed.answers,
+            )
+        if not short:
             return
         state.note_failed_answer(now)
         self._counters[_Count.SHORT_ANSWERS] += 1
@@ -323,28 +347,58 @@
             if overdue:
                 opening.state.note_failure(opening.sent_at, now)
             excluded = opening.tried_tags
-        states = self._catalogue.list_service(service)
-        choice = selection.choose_upstream(
-            self._leave_out_cold(states, evacuated, excluded, now),
-            selection.ChoiceContext(
-                now=now,
-                failure_domain=self._failure_domain,
-                excluded=excluded,
-                excluded_domains=evacuated,
-                source=self._random,
-            ),
+        context = selection.ChoiceContext(
+            now=now,
+            failure_domain=self._failure_domain,
+            excluded=excluded,
+            excluded_domains=evacuated,
+            source=self._random,
         )
+        if len(route.backends) > 1:
+            self._receive_spillable(packet, route, service, opening, context)
+            return
+        choice = self._choose_upstream(service, context)
         match choice:
             case selection.Chosen():
                 self._admit(packet, route, choice, opening, now)
-            case selection.NoUpstream(reason):
-                if any(selection.takes_new_flows(s) for s in states):
-                    reason = 'all upstreams are cold'
-                    self._counters[_Count.REFUSED_COLD] += 1
-                self._decide_without_upstream(packet, service, reason, now)
+            case _:
+                self._decide_unplaced(packet, service, choice, opening, now)
+
+    def _choose_upstream(
+        self, service: str, context: selection.ChoiceContext
+    ) -> selection.Choice:
+        states = self._catalogue.list_service(service)
+        choice = selection.choose_upstream(
+            self._leave_out_cold(states, context), context
+        )
+        match choice:
+            case selection.NoUpstream() if any(
+                map(selection.takes_new_flows, states)
+            ):
+                return selection.AllCold()
+        return choice
+
+    def _decide_unplaced(
+        self,
+        packet: packets.FlowPacket,
+        service: str,
+        choice: selection.Choice,
+        opening: openings_module.Opening | None,
+        now: float,
+    ) -> None:
+        """Refuse or drop an opening for which there is no upstream."""
+        match choice:
             case selection.AllEvacuated():
-                awaits_answer = opening is not None and not overdue
-                self._decide_evacuated(packet, awaits_answer, now)
+                self._decide_evacuated(packet, opening, now)
+            case selection.AllCold():
+                self._counters[_Count.REFUSED_COLD] += 1
+                self._decide_without_upstream(
+                    packet, service, selection.describe_failure(choice), now
+                )
+            case _:
+                self._decide_without_upstream(
+                    packet, service, selection.describe_failure(choice), now
+                )
 
     def _list_evacuated(self, now: float) -> frozenset[str]:
         if self._evacuations is None:
@@ -352,7 +406,10 @@
         return self._evacuations.list_excluded(now)
 
     def _decide_evacuated(
-        self, packet: packets.FlowPacket, awaits_answer: bool, now: float
+        self,
+        packet: packets.FlowPacket,
+        opening: openings_module.Opening | None,
+        now: float,
     ) -> None:
         """Refuse an opening that only evacuated upstreams could serve.
 
@@ -361,6 +418,9 @@
         serves, and its client could not be certain that nothing has run.
         """
         flow = self.flows.get(packet.key)
+        awaits_answer = opening is not None and not self.openings.is_overdue(
+            opening, now
+        )
         if awaits_answer or (flow is not None and not flow.ended):
             self._counters[_Count.DROPPED_EVACUATED] += 1
             self._emit_opening(
@@ -373,16 +433,14 @@
         self._counters[_Count.REFUSED_EVACUATED] += 1
         self._refuse(
             packet,
-            'all failure domains with its upstreams are evacuated',
+            selection.describe_failure(selection.AllEvacuated()),
             now,
         )
 
     def _leave_out_cold(
         self,
         states: list[upstreams.UpstreamState],
-        evacuated: frozenset[str],
-        tried: frozenset[int],
-        now: float,
+        context: selection.ChoiceContext,
     ) -> list[upstreams.UpstreamState]:
         """Return the upstreams that may get an opening now.
 
@@ -392,11 +450,12 @@
         current = self._routes.current
         if self._cold_start is None or current is None:
             return states
-        if evacuated:
+        if context.excluded_domains:
             available = [
                 state
                 for state in states
-                if state.upstream.failure_domain not in evacuated
+                if state.upstream.failure_domain
+                not in context.excluded_domains
                 and selection.takes_new_flows(state)
             ]
             if not available:
@@ -404,11 +463,51 @@
             states = available
         return self._cold_start.slow_start.filter(
             states,
-            now,
+            context.now,
             current.services,
-            self._cold_start.list_live_ids(now),
-            tried=tried,
+            self._cold_start.list_live_ids(context.now),
+            tried=context.excluded,
+        )
+
+    def _receive_spillable(
+        self,
+        packet: packets.FlowPacket,
+        route: records.Route,
+        drawn: str,
+        opening: openings_module.Opening | None,
+        context: selection.ChoiceContext,
+    ) -> None:
+        """Place an opening of a route with several backends."""
+        now = context.now
+        pending = opening.state.upstream.service if opening else None
+        services = spillover.list_services(route.backends, drawn, pending)
+        placement = spillover.place_flow(
+            services,
+            context,
+            choose=lambda service: self._choose_upstream(service, context),
+            check=lambda choice: self._find_refusal(route, choice.state),
+            pending=pending,
         )
+        match placement:
+            case spillover.Placed(service, choice, reason):
+                if reason:
+                    self._counters[_Count.SPILLED] += 1
+                    self._emit_opening(
+                        'opening_spilled',
+                        packet,
+                        now,
+                        route=route.name,
+                        service=services[0],
+                        to_service=service,
+                        reason=reason,
+                    )
+                self._open(packet, route, choice, opening, now)
+            case spillover.Unplaced(reason, None):
+                self._refuse(packet, reason, now)
+            case spillover.Unplaced(_, choice):
+                self._decide_unplaced(
+                    packet, services[0], choice, opening, now
+                )
 
     def _admit(
         self,
@@ -422,15 +521,21 @@
 
         Copies of an opening that was admitted are not refused.
         """
-        service_time = self._service_times.get(route.destination)
-        if (
-            opening is not None
-            or service_time is None
-            or not service_time.known
-        ):
+        reason = ''
+        if opening is None:
+            reason = self._find_refusal(route, choice.state)
+        if reason:
+            self._refuse(packet, reason, now)
+        else:
             self._open(packet, route, choice, opening, now)
-            return
-        state = choice.state
+
+    def _find_refusal(
+        self, route: records.Route, state: upstreams.UpstreamState
+    ) -> str:
+        """Return why an upstream does not admit a flow, '' if it does."""
+        service_time = self._service_times.get(route.destination)
+        if service_time is None or not service_time.known:
+            return ''
         decision = admission.decide_admission(
             admission.make_latency_budget(
                 route.target_latency_s, route.priority
@@ -441,13 +546,9 @@
         )
         match decision:
             case admission.Admitted():
-                self._open(packet, route, choice, opening, now)
+                return ''
             case admission.Refused(expected_s):
-                self._refuse(
-                    packet,
-                    f'an answer is expected after {expected_s:.3f} s',
-                    now,
-                )
+                return f'an answer is expected after {expected_s:.3f} s'
 
     def _open(
         self,
--- a/packages/savoryhaven/src/_savoryhaven/operation/node.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/node.py
@@ -124,6 +124,7 @@
             source=source,
             evacuations=self.evacuations,
             cold_start=self._make_cold_start(),
+            uneven_upstreams=settings.uneven_upstreams,
         )
         self.gossip: typing.Final = gossip_module.Gossip(
             members=self.members,
@@ -460,6 +461,7 @@
                 'data_address',
                 'evacuation',
                 'cold_start',
+                'uneven_upstreams',
             )
             if getattr(loaded, name) != getattr(self.settings, name)
         ]
--- a/packages/savoryhaven/src/_savoryhaven/placement/selection.py
+++ b/packages/savoryhaven/src/_savoryhaven/placement/selection.py
@@ -76,7 +76,25 @@
     """All upstreams that could serve the flow are in excluded domains."""
 
 
-Choice = Chosen | NoUpstream | AllEvacuated
+@attrs.frozen(eq=False, repr=False)
+class AllCold:
+    """All upstreams are cold, and got as many openings as they may get."""
+
+
+Choice = Chosen | NoUpstream | AllEvacuated | AllCold
+
+
+def describe_failure(choice: Choice) -> str:
+    """Return why there is no upstream for a flow, '' if there is one."""
+    match choice:
+        case NoUpstream(reason):
+            return reason
+        case AllEvacuated():
+            return 'all failure domains with its upstreams are evacuated'
+        case AllCold():
+            return 'all upstreams are cold'
+        case Chosen():
+            return ''
 
 
 def choose_upstream(
@@ -156,18 +174,24 @@
 def _find_due_retry(
     states: list[upstreams.UpstreamState], now: float
 ) -> upstreams.UpstreamState | None:
-    """Return a suspect that is due for a retry.
+    """Return a suspect that is due for a retry."""
+    for state in states:
+        if is_retry_due(state, now):
+            return state
+    return None
+
+
+def is_retry_due(state: upstreams.UpstreamState, now: float) -> bool:
+    """Return whether an upstream is a suspect that is due for a retry.
 
     Only suspects with a single failure are retried, as a lost packet looks
     the same. After more failures an upstream stays suspect until it answers,
     the store removes it, or the suspicion expires.
     """
-    for state in states:
-        if state.failures == 1 and has_failed(state, now):
-            since = max(state.retried_at, state.failed_at)
-            if now - since >= RETRY_INTERVAL_S:
-                return state
-    return None
+    if state.failures != 1 or not has_failed(state, now):
+        return False
+    since = max(state.retried_at, state.failed_at)
+    return now - since >= RETRY_INTERVAL_S
 
 
 def compute_cost(
@@ -181,6 +205,8 @@
     load += LASTING_LOAD_WEIGHT * lasting
     if now < state.warm_up_ends_at:
         load = (load + 1.0) * WARM_UP_FACTOR - 1.0
+    if state.speed_factor != 1.0:
+        load = (load + 1.0) * state.speed_factor - 1.0
     cost = load / max(1, state.upstream.slots)
     if state.upstream.failure_domain != context.failure_domain:
         cost += REMOTE_DOMAIN_COST
