Refuse openings while a VM is too busy to handle packets in time

A VM with a small processor did not know when it was saturated: openings queued in its socket, and packets of open flows waited behind them. With the setting own_limits it measures how long packets wait (timestamps of the kernel) and refuses openings, those of the lowest priority first.

--- a/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
@@ -20,6 +20,7 @@
 from _savoryhaven.operation import events as events_module
 from _savoryhaven.placement import admission
 from _savoryhaven.placement import answers
+from _savoryhaven.placement import own_limits as own_limits_module
 from _savoryhaven.placement import selection
 from _savoryhaven.placement import upstreams
 
@@ -72,6 +73,7 @@
         counters: counters_module.Counters,
         events: events_module.EventLog,
         source: random.Random,
+        own_limits: own_limits_module.OwnLimits | None = None,
     ) -> None:
         self._codec: typing.Final = codec
         self._routes: typing.Final = routes
@@ -81,6 +83,7 @@
         self._counters: typing.Final = counters
         self._events: typing.Final = events
         self._random: typing.Final = source
+        self._own_limits: typing.Final = own_limits
         self.flows: typing.Final = flows_module.FlowTable(FLOW_LIMIT)
         self.openings: typing.Final = openings_module.Openings(OPENING_LIMIT)
         self._service_times: dict[records.Destination, admission.ServiceTime]
@@ -297,6 +300,13 @@
         if route is None:
             self._decide_without_route(packet, now)
             return
+        if (
+            opening is None
+            and self._own_limits is not None
+            and not self._own_limits.admit(route.priority, _draw(packet))
+        ):
+            self._shed(packet)
+            return
         service = routes_module.choose_service(route, packet.key)
         excluded: frozenset[int] = frozenset()
         if opening is not None:
@@ -426,6 +436,17 @@
         self._counters[_Count.REFUSED] += 1
         self._emit_opening('opening_refused', packet, now, reason=reason)
 
+    def _shed(self, packet: packets.FlowPacket) -> None:
+        """Reset an opening because the VM is too busy.
+
+        A log line for each would cost as much as the reset itself; the lines
+        at the start and the end of shedding have the numbers.
+        """
+        self._outputs.send_to_client(
+            self._codec.encode_reset(packet), packet.key
+        )
+        self._counters[_Count.SHED] += 1
+
     def _emit_opening(
         self,
         name: str,
@@ -444,3 +465,12 @@
             catalogue_revision=self._catalogue.revision,
             catalogue_age_s=round(now - self._catalogue.confirmed_at, 3),
         )
+
+
+def _draw(packet: packets.FlowPacket) -> float:
+    """Return a number from 0 to 1, the same for each copy of an opening.
+
+    The hash of integers is the same in all processes. A client that tries
+    again with the same ports has another sequence number.
+    """
+    return (hash((packet.key, packet.sequence)) & 0xFFFF_FFFF) / (1 << 32)
--- a/packages/savoryhaven/src/_savoryhaven/operation/counters.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/counters.py
@@ -19,6 +19,7 @@
     REPEATED = 'copies of openings sent to the same upstream'
     MOVED = 'copies of openings sent to a further upstream'
     REFUSED = 'openings reset: no route, or no upstream for it'
+    SHED = 'openings reset: the VM itself is too busy'
     RESET = 'open flows reset: their upstream has ended'
     ANSWERED = 'requests whose answers clients acknowledged'
     SHORT_ANSWERS = 'answers much shorter than usual: perhaps errors'
--- a/packages/savoryhaven/src/_savoryhaven/operation/node.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/node.py
@@ -25,6 +25,7 @@
 from _savoryhaven.operation import settings as settings_module
 from _savoryhaven.operation import sockets
 from _savoryhaven.operation import stops
+from _savoryhaven.placement import own_limits as own_limits_module
 
 # Heartbeat interval of a VM that has no routes or upstreams yet.
 JOIN_INTERVAL_S = 0.1
@@ -94,6 +95,7 @@
         self.members: typing.Final = members_module.Members(
             settings.vm_id, address.host, link_mbps=settings.link_mbps
         )
+        self.own_limits: typing.Final = _make_own_limits(settings)
         self.forwarder: typing.Final = forwarder_module.Forwarder(
             codec=platform.codec,
             routes=self.routes,
@@ -105,6 +107,7 @@
             counters=self.counters,
             events=self.events,
             source=source,
+            own_limits=self.own_limits,
         )
         self.gossip: typing.Final = gossip_module.Gossip(
             members=self.members,
@@ -203,6 +206,7 @@
             self._receive_packet,
             self._report_socket_error,
             self._pauses.note_drained,
+            None if self.own_limits is None else self._note_wait,
         )
         peer_address = addresses.Address(
             self._address.host, self.settings.peers.port
@@ -370,7 +374,12 @@
             return
         need_restart = [
             name
-            for name in ('vm_id', 'failure_domain', 'data_address')
+            for name in (
+                'vm_id',
+                'failure_domain',
+                'data_address',
+                'own_limits',
+            )
             if getattr(loaded, name) != getattr(self.settings, name)
         ]
         store_moved = loaded.store != self.settings.store
@@ -395,6 +404,32 @@
         self._received_at = now
         self.forwarder.receive(data, now, waited=self._pauses.backlog)
 
+    def _note_wait(self, wait_s: float) -> None:
+        """Record how long a packet of a client has waited.
+
+        Waits for the end of a pause say nothing about the VM's load.
+        """
+        now = self._note_running()
+        if self._pauses.note_wait(wait_s, now):
+            return
+        match self.own_limits.note_wait(wait_s, now):
+            case own_limits_module.Started() as started:
+                self.events.emit(
+                    'shedding_started',
+                    waited_ms=round(started.waited_s * 1000, 1),
+                    max_wait_ms=self.own_limits.max_wait_s * 1000,
+                    openings_per_s=round(started.handled_per_s, 1),
+                    admitted_per_s=round(started.admitted_per_s, 1),
+                )
+            case own_limits_module.Ended() as ended:
+                self.events.emit(
+                    'shedding_ended',
+                    waited_ms=round(ended.waited_s * 1000, 1),
+                    max_wait_ms=self.own_limits.max_wait_s * 1000,
+                    lasted_s=round(ended.lasted_s, 3),
+                    refused=ended.refused,
+                )
+
     def _receive_peer_message(self, data: bytes, host: str) -> None:
         self.gossip.receive(data, host, self._note_running())
 
@@ -427,6 +462,14 @@
         }
 
 
+def _make_own_limits(
+    settings: settings_module.Settings,
+) -> own_limits_module.OwnLimits | None:
+    if settings.own_limits is None:
+        return None
+    return own_limits_module.OwnLimits(settings.own_limits.max_wait_ms / 1000)
+
+
 async def run_node(
     settings: settings_module.Settings,
     *,
--- a/packages/savoryhaven/src/_savoryhaven/operation/pauses.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/pauses.py
@@ -9,8 +9,18 @@
     >>> detector.note_drained()
     >>> detector.note_running(12.6), detector.backlog
     (0.0, False)
+
+A VM that is always busy never reads its sockets empty. There the backlog ends
+with the first packet that has arrived after the pause.
+
+    >>> detector.note_running(14.6), detector.backlog
+    (2.0, True)
+    >>> detector.note_wait(0.3, 14.8), detector.note_wait(0.3, 15.0)
+    (True, False)
 """
 
+import math
+
 import attrs
 
 # Shortest gap that counts as a pause; a running VM calls ``note_running``
@@ -25,11 +35,13 @@
     """Tracks when the process last ran.
 
     ``backlog`` is whether packets that arrived during a pause may still be
-    unread. Times are in seconds of the VM's clock.
+    unread, ``resumed_at`` is when the last pause ended. Times are in seconds
+    of the VM's clock.
     """
 
     ran_at: float
     backlog: bool = False
+    resumed_at: float = -math.inf
 
     def note_running(self, now: float) -> float:
         """Record that the process runs; return the pause before it, or 0."""
@@ -38,8 +50,18 @@
         if gap_s < PAUSE_MIN_S:
             return 0.0
         self.backlog = True
+        self.resumed_at = now
         return gap_s
 
     def note_drained(self) -> None:
         """Record that no received packet is left to read."""
         self.backlog = False
+
+    def note_wait(self, wait_s: float, now: float) -> bool:
+        """Record how long a packet has waited; return ``backlog``.
+
+        Packets are read in the order of their arrival.
+        """
+        if now - wait_s > self.resumed_at:
+            self.backlog = False
+        return self.backlog
