Own limits: simulate busy VMs, and read a full socket empty first

In the simulation the floors and the refusals left too little processor time to read a full socket at 5 times the capacity, so shedding starts with one interval in which nothing is admitted. The floor counts clients instead of openings, as refused clients try twice more.

--- a/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
@@ -19,6 +19,7 @@
 from _savoryhaven.knowledge import routes as routes_module
 from _savoryhaven.operation import counters as counters_module
 from _savoryhaven.operation import events as events_module
+from _savoryhaven.placement import own_limits as own_limits_module
 from _savoryhaven.placement import upstreams
 
 SERVICE_HOST = 0xC6120001
@@ -158,6 +159,7 @@
         failure_domain: str = 'a',
         seed: int = 1,
         clock: typing.Any = None,
+        own_limits: own_limits_module.OwnLimits | None = None,
     ) -> None:
         self.clock = clock or ManualClock()
         self.codec = JsonCodec()
@@ -183,6 +185,7 @@
             counters=self.counters,
             events=self.events,
             source=random.Random(seed),
+            own_limits=own_limits,
         )
 
     def _record_requested_tag(self, tag: int, now: float) -> None:
--- a/packages/savoryhaven/src/_savoryhaven/placement/own_limits.py
+++ b/packages/savoryhaven/src/_savoryhaven/placement/own_limits.py
@@ -15,6 +15,9 @@
     >>> type(change).__name__, limits.shedding
     ('Started', True)
     >>> limits.admit(0, draw=0.99), limits.admit(0, draw=0.01)
+    (False, False)
+    >>> limits.note_wait(0.01, 10.6)
+    >>> limits.admit(0, draw=0.99), limits.admit(0, draw=0.01)
     (False, True)
 """
 
@@ -28,29 +31,32 @@
 # Shedding ends when for this time waits were short and nothing was refused.
 CALM_S = 1.0
 # How often the admitted rate is adjusted: several round trips of an opening.
-INTERVAL_S = 0.1
+INTERVAL_S = 0.05
 # The wait to which the admitted rate is adjusted, as a part of the longest
 # one: 20 ms of 50 ms.
 TARGET_WAIT_SHARE = 0.4
 # Shedding starts with this part of the rate that the saturated VM handled, so
 # that the packets in its socket are read soon.
 START_FACTOR = 0.7
-DECREASE_FACTOR = 0.9
+DECREASE_FACTOR = 0.93
 # Step of the admitted rate, as a part of the rate when shedding started.
-INCREASE_SHARE = 0.02
-# The admitted rate does not fall below this part of the rate when shedding
-# started; from there it recovers within a few seconds.
-MIN_RATE_SHARE = 0.1
+INCREASE_SHARE = 0.03
+# For one interval nothing is admitted when shedding starts, and again when
+# waits are too long, but not sooner than after this time. That reads a full
+# socket empty: at 5 times the capacity, the floors and the refusals together
+# leave too little processor time for that.
+DRAIN_PAUSE_S = 1.0
 # While a queue is being read, waits are long although the admitted rate is
 # right. The rate is decreased only if the wait has not fallen to this part of
 # what it was in the interval before.
 FALLING_FACTOR = 0.9
-# The least share of the openings of a priority that is admitted. A refused
-# client tries twice more, so this admits a tenth of the clients. A tenth of
-# all openings would be more than the VM can handle at 5 times its capacity.
-FLOOR = 1 - 0.9 ** (1 / 3)
+# The least share of the openings of a priority that is admitted. As a refused
+# client tries twice more, this admits 12 % of the clients: a tenth, and some
+# for the intervals in which nothing is admitted. A tenth of all openings would
+# be more than a VM can handle at 5 times its capacity.
+FLOOR = 1 - 0.88 ** (1 / 3)
 # Weight of the last interval in the average rate of openings.
-RATE_WEIGHT = 0.3
+RATE_WEIGHT = 0.5
 
 
 @attrs.frozen
@@ -88,6 +94,8 @@
         self._admitted_per_s = math.inf
         self._start_per_s = 0.0
         self._started_at = 0.0
+        self._drained_at = 0.0
+        self._draining = False
         self._refused = 0
         self._refused_before = 0
         # Share that is admitted, by priority; 1 for those not in it.
@@ -109,7 +117,9 @@
         opening: a client whose opening was refused has given up its copies.
         """
         self._counts[priority] = self._counts.get(priority, 0) + 1
-        if not self.shedding or draw < self._shares.get(priority, 1.0):
+        if not self.shedding:
+            return True
+        if not self._draining and draw < self._shares.get(priority, 1.0):
             return True
         self._refused += 1
         return False
@@ -150,7 +160,8 @@
         self.shedding = True
         self._start_per_s = handled_per_s
         self._admitted_per_s = START_FACTOR * handled_per_s
-        self._started_at = self._busy_at = now
+        self._started_at = self._busy_at = self._drained_at = now
+        self._draining = True
         self._refused = self._refused_before = 0
         self._divide()
         return Started(self._shortest_s, handled_per_s, self._admitted_per_s)
@@ -165,15 +176,25 @@
         elif now - self._busy_at >= CALM_S:
             self.shedding = False
             return Ended(waited_s, now - self._started_at, self._refused)
-        if waited_s <= target_s:
+        if self._draining:
+            # The wait was not the effect of the admitted rate.
+            self._draining = False
+        elif waited_s <= target_s:
             # Without refusals the rate is not what limits the openings.
             if refused:
                 self._admitted_per_s += INCREASE_SHARE * self._start_per_s
         elif waited_s > FALLING_FACTOR * self._previous_s:
+            # From a rate below the floors it would not recover soon.
             self._admitted_per_s = max(
-                MIN_RATE_SHARE * self._start_per_s,
+                FLOOR * sum(self._rates.values()),
                 DECREASE_FACTOR * self._admitted_per_s,
             )
+        if (
+            waited_s > self.max_wait_s
+            and now - self._drained_at >= DRAIN_PAUSE_S
+        ):
+            self._drained_at = now
+            self._draining = True
         self._divide()
         return None
 
