--- a/packages/savoryhaven/tests/test_own_limits.py
+++ b/packages/savoryhaven/tests/test_own_limits.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import doctest
+import random
 import socket
 import statistics
 import typing
 
 from _savoryhaven import addresses
 from _savoryhaven.operation import counters
+from _savoryhaven.operation import node as node_module
+from _savoryhaven.operation import settings as settings_module
 from _savoryhaven.operation import sockets
 from _savoryhaven.placement import own_limits
 from savoryhaven_standins import busy_vms
@@ -235,3 +238,81 @@
     assert received == [b'a', b'b']
     (wait_s,) = waits
     assert 0.1 <= wait_s < 5.0
+
+
+class Platform:
+    """A platform with the fakes of ``tagged``."""
+
+    codec = tagged.JsonCodec()
+
+    def open_store(
+        self, settings: settings_module.StoreSettings
+    ) -> tagged.Store:
+        """Return a store that no test calls."""
+        return tagged.Store()
+
+    decode_configuration = staticmethod(tagged.decode_configuration)
+
+
+def make_node(
+    own_limits_settings: settings_module.OwnLimitSettings | None,
+) -> tuple[node_module.Node, tagged.ManualClock]:
+    """Return a VM with a manual clock that has not been started."""
+    address = '127.0.0.1:9'
+    clock = tagged.ManualClock()
+    settings = settings_module.Settings(
+        vm_id='v-1',
+        failure_domain='a',
+        data_address=address,
+        operator_address=address,
+        readiness=settings_module.ReadinessSettings(
+            address=address, path='/ready'
+        ),
+        peers=settings_module.PeerSettings(port=9),
+        store=settings_module.StoreSettings(address=address),
+        own_limits=own_limits_settings,
+    )
+    node = node_module.Node(
+        settings,
+        settings_path='',
+        platform=Platform(),
+        clock=clock,
+        source=random.Random(1),
+    )
+    return node, clock
+
+
+def test_without_the_setting_a_vm_has_no_limits() -> None:
+    node, _ = make_node(None)
+    assert node.own_limits is None
+
+
+def test_each_change_of_state_is_logged_once_with_its_inputs() -> None:
+    node, clock = make_node(settings_module.OwnLimitSettings(max_wait_ms=40))
+    for wait_s in [0.1] * 100 + [0.01] * 200:
+        clock.now += 0.01
+        node._note_wait(wait_s)
+    started, ended = node.events._queue
+    assert started.name == 'shedding_started'
+    assert started.fields == {
+        'waited_ms': 100.0,
+        'max_wait_ms': 40.0,
+        'openings_per_s': 0.0,
+        'admitted_per_s': 0.0,
+    }
+    assert ended.name == 'shedding_ended'
+    assert ended.fields['waited_ms'] == 10.0
+    assert ended.fields['refused'] == 0
+    assert 1.0 < ended.fields['lasted_s'] < 2.0
+
+
+def test_waits_for_the_end_of_a_pause_are_no_saturation() -> None:
+    """After a pause of 2 s, reading what arrived meanwhile takes 0.7 s."""
+    node, clock = make_node(settings_module.OwnLimitSettings())
+    clock.now += 2.0
+    for step in range(70):
+        node._note_wait(2.0 - step / 50)
+        clock.now += 0.01
+    node._note_wait(0.001)
+    assert not node.own_limits.shedding
+    assert [event.name for event in node.events._queue] == ['paused']
--- a/packages/savoryhaven/tests/test_pauses.py
+++ b/packages/savoryhaven/tests/test_pauses.py
@@ -29,3 +29,13 @@
     detector = pauses.PauseDetector(ran_at=0.0)
     assert detector.note_running(0.45) == 0.0
     assert not detector.backlog
+
+
+def test_a_backlog_ends_though_the_sockets_are_never_read_empty() -> None:
+    """A saturated VM would else drop all openings after its first pause."""
+    detector = pauses.PauseDetector(ran_at=0.0)
+    detector.note_running(1.0)
+    assert detector.note_wait(0.9, 1.0)
+    assert detector.note_wait(0.3, 1.2)
+    assert not detector.note_wait(0.3, 1.4)
+    assert not detector.backlog
