--- a/benchmarks/run_all.py
+++ b/benchmarks/run_all.py
@@ -13,6 +13,7 @@
     'faults.py',
     'policies.py',
     'load_reports.py',
+    'own_limits.py',
     'capacity.py',
     'tagged_speed.py',
     'tagged_capacity.py',
--- a/packages/savoryhaven/src/_savoryhaven/operation/sockets.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/sockets.py
@@ -52,7 +52,11 @@
         for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
             self._socket.setsockopt(socket.SOL_SOCKET, option, BUFFER_BYTES)
         if report_wait is not None:
-            self._socket.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMP, 1)
+            try:
+                self._socket.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMP, 1)
+            except OSError as exc:
+                # Without times of arrival no wait is reported.
+                report_error(exc)
         self._socket.bind(address.sockaddr)
         self._loop: typing.Final = asyncio.get_running_loop()
 
--- a/packages/savoryhaven/src/_savoryhaven/placement/own_limits.py
+++ b/packages/savoryhaven/src/_savoryhaven/placement/own_limits.py
@@ -182,7 +182,10 @@
         elif waited_s <= target_s:
             # Without refusals the rate is not what limits the openings.
             if refused:
-                self._admitted_per_s += INCREASE_SHARE * self._start_per_s
+                # A VM that open flows alone saturate starts from rate zero.
+                self._admitted_per_s += INCREASE_SHARE * max(
+                    self._start_per_s, FLOOR * sum(self._rates.values())
+                )
         elif waited_s > FALLING_FACTOR * self._previous_s:
             # From a rate below the floors it would not recover soon.
             self._admitted_per_s = max(
--- a/packages/savoryhaven/tests/test_own_limits.py
+++ b/packages/savoryhaven/tests/test_own_limits.py
@@ -140,6 +140,17 @@
     assert not limits.shedding
 
 
+def test_shedding_that_starts_without_openings_ends() -> None:
+    """Open flows saturate the VM; the step must not be a part of zero."""
+    limits = make_limits()
+    (change,) = pass_time(
+        limits, start=0.0, seconds=0.6, wait_s=0.1, priorities=()
+    )
+    assert change.handled_per_s == 0.0
+    changes = pass_time(limits, start=0.6, seconds=60.0, wait_s=0.005)
+    assert [type(change) for change in changes] == [own_limits.Ended]
+
+
 def test_goodput_of_busy_vms_stays_near_the_attainable() -> None:
     """Without the limits, nearly all answers come too late.
 
