--- a/packages/savoryhaven/src/_savoryhaven/operation/settings.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/settings.py
@@ -132,18 +132,6 @@
     )
 
 
-@attrs.frozen(kw_only=True, repr=False)
-class OwnLimitSettings:
-    """The VM refuses openings that it can't handle in time itself.
-
-    ``max_wait_ms``: how long packets may wait in the VM's socket.
-    """
-
-    max_wait_ms: float = attrs.field(
-        default=50.0, validator=_check_number(5.0, 10_000.0)
-    )
-
-
 @attrs.frozen(kw_only=True, repr=False)
 class Settings:
     """All settings of a VM.
@@ -172,7 +160,6 @@
     evacuation: bool = False
     cold_start: ColdStartSettings | None = None
     uneven_upstreams: bool = False
-    own_limits: OwnLimitSettings | None = None
     plugins: tuple[str, ...] = ()
 
 
