--- a/packages/savoryhaven-standins/src/savoryhaven_standins/soak.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/soak.py
@@ -117,7 +117,7 @@
             seed=self._seed,
             plugins=self._plugins,
             zones=('a', EVACUATED_ZONE) if self._evacuates else ('a',),
-            evacuation=self._evacuates,
+            settings={'evacuation': self._evacuates},
         ) as site:
             self._site = site
             self._versions.append(_ConfigurationVersion(_now(), 1, 'desk'))
