--- a/packages/savoryhaven/tests/test_evacuated_fleets.py
+++ b/packages/savoryhaven/tests/test_evacuated_fleets.py
@@ -19,6 +19,7 @@
 # Positions of upstreams reach all VMs with heartbeats, a second or two after
 # the watch that returns them.
 RESTORED_S = 4.0
+SEEDS = ('10.0.0.1',)
 
 
 def excludes(*domains: str) -> typing.Callable[[tagged.Vm], bool]:
@@ -188,3 +189,26 @@
         for name in names:
             fleet.store.restore_domain(name)
         await fleet.measure(excludes('a'), limit_s=RESTORED_S)
+
+
+# Guards against a set of domains that costs more than control traffic may.
+# Listed in KNOWN-RED.txt.
+def test_control_with_evacuated_domains_stays_within_four_kilobytes() -> None:
+    network = tagged.make_network(60, evacuation=True)
+    for vm in network.vms.values():
+        vm.learn([tagged.make_upstream(n) for n in range(1, 76)])
+        vm.evacuations.adopt(
+            ('domain',),
+            100,
+            source='h',
+            confirmed_at=network.clock.now,
+            now=network.clock.now,
+        )
+        for state in vm.catalogue.list_states():
+            state.recent_load = state.lasting_load = 2.0
+            state.averaged_at = network.clock.now
+            state.outstanding = 2
+    network.pass_time(3.0, seeds=SEEDS)
+    network.sent_bytes = 0
+    network.pass_time(4.0, seeds=SEEDS)
+    assert network.sent_bytes / 60 / 4.0 <= 4_096, network.sent_bytes / 240
