--- a/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
@@ -375,6 +375,7 @@
             case selection.NoUpstream() if any(
                 map(selection.takes_new_flows, states)
             ):
+                # Only the limits of cold upstreams left these out.
                 return selection.AllCold()
         return choice
 
@@ -390,15 +391,12 @@
         match choice:
             case selection.AllEvacuated():
                 self._decide_evacuated(packet, opening, now)
+                return
             case selection.AllCold():
                 self._counters[_Count.REFUSED_COLD] += 1
-                self._decide_without_upstream(
-                    packet, service, selection.describe_failure(choice), now
-                )
-            case _:
-                self._decide_without_upstream(
-                    packet, service, selection.describe_failure(choice), now
-                )
+        self._decide_without_upstream(
+            packet, service, selection.describe_failure(choice), now
+        )
 
     def _list_evacuated(self, now: float) -> frozenset[str]:
         if self._evacuations is None:
