--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,118 +1,128 @@
-"""Two hosts drain while a zone is cut off; its VMs never learn of it."""
+"""One answer to an opening is lost; the flow is reset by another host."""
 
 import asyncio
 import pathlib
 
 from standins import clients
 from standins import hosts
+from standins import packets
 from standins import site as site_module
 
-# The zones of the VMs and the hosts of a site sheet; the last one is cut off.
-ZONES = ('caugiay', 'caugiay', 'caugiay', 'longbien', 'longbien', 'hadong')
 SERVICE = 'decision-desk'
-HOSTS_BY_ZONE = {'caugiay': 5, 'longbien': 5, 'hadong': 4}
-CUT_S = 5.5
-# From the end of the cut until requests count.
-REQUESTS_S = 6.0
-FLOWS_PER_S = 100
+ZONES = ('caugiay', 'longbien', 'hadong')
+HOSTS = 7
+FLOWS = 200
+FLOWS_PER_S = 50
+# Of so many flows, the first answer to the opening of one is lost.
+LOST_OF = 50
+# From the openings until the first requests.
+PAUSE_S = site_module.STABILITY_S + 1.0
+
+
+class Loss:
+    """Loses the first answer to the openings of some flows."""
+
+    def __init__(self, record: site_module.Record) -> None:
+        self._record = record
+        self._answered: set[int] = set()
+
+    def __call__(self, packet: packets.Packet) -> bool:
+        """Return whether a packet to the client is lost."""
+        port = packet.destination[1]
+        if not packet.flags & packets.SYN or port in self._answered:
+            return False
+        self._answered.add(port)
+        if port % LOST_OF:
+            return False
+        self._record.add(f'the first answer to port {port} is lost')
+        return True
 
 
 async def play(
     record: site_module.Record, folder: pathlib.Path
 ) -> bool:
-    """Play the case; return whether DRAIN held."""
+    """Play the case; return whether FLOW held."""
     site = site_module.Site(folder, record, zones=ZONES)
     try:
         await site.open()
         await site.configure(1, SERVICE)
-        for zone, count in HOSTS_BY_ZONE.items():
-            for _ in range(count):
-                await site.add_host(SERVICE, zone)
+        for number in range(HOSTS):
+            await site.add_host(SERVICE, ZONES[number % len(ZONES)])
         await site.start_vms()
-        await send_requests(site, 2.0, 'before')
-        await cut_and_drain(site)
-        await asyncio.sleep(site_module.STABILITY_S + 0.5)
-        await send_requests(site, REQUESTS_S, 'after')
-        return report(site)
+        await asyncio.sleep(site_module.STABILITY_S)
+        client = site.add_client(ZONES[0])
+        if site_module.has_trouble():
+            client.loses = Loss(record)
+        flows = await open_flows(site, client)
+        await asyncio.sleep(PAUSE_S)
+        owners = dict(site.log.owners)
+        await send_requests(site, flows)
+        return report(site, flows, owners)
     finally:
         await site.close()
 
 
-async def cut_and_drain(site: site_module.Site) -> None:
-    """Cut off a zone; meanwhile the first two hosts report that they leave."""
-    record = site.record
-    if site_module.has_trouble():
-        for link in site.store_links[-1:]:
-            link.cut()
-        site.mesh.cut_hosts = frozenset(vm.host for vm in site.vms[-1:])
-        record.add('zone hadong is cut off from the others and the store')
-    await asyncio.sleep(1.0)
-    for host in site.hosts[:2]:
-        revision = await host.drain()
-        record.add(
-            f'the store acknowledges at revision {revision} that '
-            f'{host.name} is draining',
-            host.draining_at,
-        )
-    await asyncio.sleep(CUT_S - 1.0)
-    for link in site.store_links[-1:]:
-        link.heal()
-    site.mesh.cut_hosts = frozenset()
-    if site_module.has_trouble():
-        record.add('the cut is over')
+async def open_flows(
+    site: site_module.Site, client: clients.Client
+) -> list[clients.Flow]:
+    """Open flows at an even rate, ahead of their first requests."""
+    flows = [client.make_flow(site.service) for _ in range(FLOWS)]
+    async with asyncio.TaskGroup() as group:
+        for flow in flows:
+            group.create_task(flow.open())
+            await asyncio.sleep(1.0 / FLOWS_PER_S)
+    return flows
 
 
 async def send_requests(
-    site: site_module.Site, length_s: float, label: str
+    site: site_module.Site, flows: list[clients.Flow]
 ) -> None:
-    """Open flows in zone hadong at an even rate, with a request each."""
-    client = site.add_client('hadong')
+    """Send a request on each open flow."""
     async with asyncio.TaskGroup() as group:
-        for number in range(round(length_s * FLOWS_PER_S)):
-            group.create_task(
-                request_once(site, client, f'{label}-{number}')
-            )
+        for flow in flows:
+            group.create_task(request_once(site, flow))
             await asyncio.sleep(1.0 / FLOWS_PER_S)
 
 
-async def request_once(
-    site: site_module.Site, client: clients.Client, name: str
-) -> None:
-    """Open a flow, send a request and close it."""
-    flow = client.make_flow(site.service)
-    await flow.open()
-    outcome = await flow.request(name)
-    ran_at = [host.name for host in site.log.runs.get(name, [])]
+async def request_once(site: site_module.Site, flow: clients.Flow) -> None:
+    """Send a request on a flow, and close it."""
+    port = flow.key[0][1]
     site.record.add(
-        f'request {name}: {outcome.value}, run by {ran_at}', flow.openings[0]
+        f'flow from port {port}: opened with {len(flow.openings)} openings, '
+        f'{flow.answers} answers arrived',
+        flow.openings[0],
     )
+    began_at = asyncio.get_running_loop().time()
+    name = f'request-{port}'
+    outcome = await flow.request(name)
+    ran_at = [host.name for host in site.log.runs.get(name, [])]
+    site.record.add(f'{name}: {outcome.value}, run by {ran_at}', began_at)
     flow.close()
 
 
-def report(site: site_module.Site) -> bool:
-    """Record the late openings; return whether there is none."""
-    late = [opening for opening in site.log.openings if is_late(opening)]
-    for opening in late:
-        waited_s = opening.arrived_at - opening.host.draining_at
-        site.record.add(
-            f'late opening at {opening.host.name} from '
-            f'{site.name_sender(opening.sender)}, {waited_s:.2f} s after the '
-            'acknowledgement',
-            opening.arrived_at,
-        )
-    site.record.add(f'{len(late)} late openings')
-    return not late
-
-
-def is_late(opening: hosts.Opening) -> bool:
-    """Return whether a host that drains took an opening too late.
-
-    All openings after the bound were sent by VMs that have been in touch.
-    """
-    since = opening.host.draining_at
-    if since is None:
-        return False
-    return opening.arrived_at > since + site_module.DRAIN_S
+def report(
+    site: site_module.Site,
+    flows: list[clients.Flow],
+    owners: dict[hosts.Key, hosts.Host],
+) -> bool:
+    """Record the resets that a flow's host did not send."""
+    broken = 0
+    for flow in flows:
+        owner = owners.get(flow.key)
+        if flow.reset is None or owner is None:
+            continue
+        for reset in site.log.resets:
+            if reset.key == flow.key and reset.host is not owner:
+                broken += 1
+                site.record.add(
+                    f'the flow from port {flow.key[0][1]}, open at '
+                    f'{owner.name}, is reset by {reset.host.name}, to which '
+                    f'{site.name_sender(reset.sender)} sent its packet',
+                    reset.sent_at,
+                )
+                break
+    site.record.add(f'{broken} flows were reset by another host')
+    return not broken
 
 
 if __name__ == '__main__':
--- a/review/standins/clients.py
+++ b/review/standins/clients.py
@@ -36,6 +36,10 @@
     by_system: bool
 
 
+def _lose_nothing(packet: packets.Packet) -> bool:
+    return False
+
+
 class Client:
     """One client with its own address."""
 
@@ -49,6 +53,8 @@
         self.number = packets.parse_host(host)
         self.send_raw = send
         self.random = source
+        # Returns whether a packet is lost on its way to the client.
+        self.loses: typing.Callable[[packets.Packet], bool] = _lose_nothing
         # Packets that were not as their sender wrote them.
         self.altered = 0
         self._flows: dict[int, Flow] = {}
@@ -76,7 +82,7 @@
                 return
             packet = packets.decode(raw)
             flow = packet and self._flows.get(packet.destination[1])
-            if not flow:
+            if not flow or self.loses(packet):
                 continue
             if not (packet.intact or packet.is_system_reset):
                 self.altered += 1
--- a/review/standins/hosts.py
+++ b/review/standins/hosts.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import random
+import typing
 
 from standins import packets
 from standins import store as store_module
@@ -186,13 +187,28 @@
                 first, packet.sequence + 1, packet.echo, first + 1, first + 1
             )
             self._flows[key] = flow
-        if not flow.is_open:
-            self._send(
-                key,
-                flow,
-                packets.SYN | packets.ACK,
-                flow.first_sequence,
-            )
+            self._start(self._answer_opening(key, flow))
+        elif not flow.is_open:
+            self._send_opening_answer(key, flow)
+
+    async def _answer_opening(self, key: Key, flow: _Flow) -> None:
+        """Answer an opening; a missing answer is retransmitted."""
+        for attempt in range(1 + RETRANSMISSIONS):
+            self._send_opening_answer(key, flow)
+            await asyncio.sleep(min(1.6, RETRANSMIT_S * 2**attempt))
+            if flow.is_open or self._flows.get(key) is not flow:
+                return
+        self._end(key)
+
+    def _send_opening_answer(self, key: Key, flow: _Flow) -> None:
+        self._send(
+            key, flow, packets.SYN | packets.ACK, flow.first_sequence
+        )
+
+    def _start(self, work: typing.Coroutine[typing.Any, typing.Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def _is_of_flow(self, flow: _Flow, packet: packets.Packet) -> bool:
         """Return whether the client has opened the flow at this host."""
@@ -229,9 +245,7 @@
                 for line in head.decode().split('\r\n')[1:]
             )
             name = fields['X-Savoryhaven-Request-Id']
-            task = asyncio.create_task(self._run(key, flow, name))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._start(self._run(key, flow, name))
 
     async def _run(self, key: Key, flow: _Flow, name: str) -> None:
         self._log.runs.setdefault(name, []).append(self)
