--- a/review/standins/hosts.py
+++ b/review/standins/hosts.py
@@ -12,6 +12,8 @@
 RETRANSMIT_S = 0.2
 RETRANSMISSIONS = 8
 ANSWER = b'a' * 600
+# A host that has just started takes so many times as long for a request.
+COLD_FACTOR = 1.6
 Key = tuple[tuple[int, int], tuple[int, int]]
 
 
@@ -75,6 +77,7 @@
         source: random.Random,
         slots: int = 3,
         work_s: float = 0.055,
+        cold_s: float = 0.0,
     ) -> None:
         self.name = name
         self.service = service
@@ -91,6 +94,8 @@
         self._slot_count = slots
         self._slots = asyncio.Semaphore(slots)
         self._work_s = work_s
+        self.started_at = asyncio.get_running_loop().time()
+        self.cold_until = self.started_at + cold_s
         self._flows: dict[Key, _Flow] = {}
         self._tasks: set[asyncio.Task] = set()
         self._socket = packets.bind_datagrams(address)
@@ -112,12 +117,17 @@
                 'version': 'v1',
                 'capacity_slots': self._slot_count,
                 'state': 'ready' if self.draining_at is None else 'draining',
-                'cold_remaining_ms': 0,
+                'cold_remaining_ms': round(1_000 * self._get_cold_s()),
                 'sequence_number': 1,
                 'born': 1_790_000_000_000,
             },
         )
 
+    def _get_cold_s(self) -> float:
+        return max(
+            0.0, self.cold_until - asyncio.get_running_loop().time()
+        )
+
     async def drain(self) -> int:
         """Report that the host leaves; it goes on serving."""
         self.draining_at = 0.0
@@ -250,7 +260,8 @@
     async def _run(self, key: Key, flow: _Flow, name: str) -> None:
         self._log.runs.setdefault(name, []).append(self)
         async with self._slots:
-            await asyncio.sleep(self._work_s)
+            factor = COLD_FACTOR if self._get_cold_s() else 1.0
+            await asyncio.sleep(self._work_s * factor)
         answer = (
             'HTTP/1.1 200 OK\r\n'
             f'X-Savoryhaven-Server-Stamp: {self.name}/{name}\r\n'
--- a/review/standins/links.py
+++ b/review/standins/links.py
@@ -86,6 +86,7 @@
         make_address: typing.Callable[[int, int], str],
     ) -> None:
         self.cut_hosts: frozenset[str] = frozenset()
+        self._isolated: frozenset[str] = frozenset()
         self._port = port
         self._hosts = list(vm_hosts)
         self._sockets = {}
@@ -98,6 +99,15 @@
                 self._sockets[sender, receiver] = bound
                 loop.add_reader(bound, self._read, sender, receiver)
 
+    def isolate(self, hosts: typing.Iterable[str]) -> None:
+        """Cut VMs off from all others, also from each other."""
+        self._isolated = frozenset(hosts)
+
+    def _is_cut(self, sender: str, receiver: str) -> bool:
+        if self._isolated & {sender, receiver}:
+            return True
+        return (sender in self.cut_hosts) != (receiver in self.cut_hosts)
+
     def close(self) -> None:
         """Close all sockets."""
         loop = asyncio.get_running_loop()
@@ -116,7 +126,7 @@
             # VMs tell each other addresses, so any may use this one.
             sender = self._hosts.index(address[0])
             target = self._hosts[receiver]
-            if (address[0] in self.cut_hosts) != (target in self.cut_hosts):
+            if self._is_cut(address[0], target):
                 continue
             try:
                 self._sockets[receiver, sender].sendto(
--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -57,8 +57,16 @@
         zones: typing.Sequence[str],
         seed: int = 1,
         revision: int = 1_000,
+        settings: dict[str, typing.Any] | None = None,
+        figures: dict[str, float] | None = None,
     ) -> None:
-        """Make a site with one VM for each item of ``zones``."""
+        """Make a site with one VM for each item of ``zones``.
+
+        ``settings`` are further settings of all VMs, ``figures`` further
+        fields of the service in the configuration.
+        """
+        self._settings = settings or {}
+        self._figures = figures or {}
         self.record = record
         self.random = random.Random(seed)
         self.network = _pick_network()
@@ -161,6 +169,7 @@
                         'connection_limit': 2_000,
                         'protocol': 'h1',
                         'tls': False,
+                        **self._figures,
                     }
                 ],
                 'limits': {'idle_timeout_ms': 15_000},
@@ -169,7 +178,11 @@
         self.record.add(f'configuration {version} at revision {revision}')
 
     async def add_host(
-        self, service: str, zone: str, work_s: float = 0.055
+        self,
+        service: str,
+        zone: str,
+        work_s: float = 0.055,
+        cold_s: float = 0.0,
     ) -> hosts_module.Host:
         """Start a host, which registers in the store."""
         number = len(self.hosts) + 1
@@ -183,6 +196,7 @@
             log=self.log,
             source=self.random,
             work_s=work_s,
+            cold_s=cold_s,
         )
         self.hosts.append(host)
         revision = await host.register()
@@ -237,6 +251,7 @@
             'link_mbps': 1000.0,
             'stop': {'grace_s': 6},
             'plugins': ['savoryhaven_platform'],
+            **self._settings,
         }
 
 
