--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,13 @@
-"""One answer to an opening is lost; the flow is reset by another host."""
+"""One answer to an opening is lost; the flow is reset by another host.
+
+With ``VARIANT=restart`` clients send a first request at once, and a second
+one after a planned restart of one of the VMs.
+"""
 
 import asyncio
+import os
 import pathlib
+import signal
 
 from standins import clients
 from standins import hosts
@@ -9,7 +15,8 @@
 from standins import site as site_module
 
 SERVICE = 'decision-desk'
-ZONES = ('caugiay', 'longbien', 'hadong')
+# The clients are in the first zone, which has two VMs.
+ZONES = ('caugiay', 'caugiay', 'longbien', 'hadong')
 HOSTS = 7
 FLOWS = 200
 FLOWS_PER_S = 50
@@ -17,6 +24,8 @@
 LOST_OF = 50
 # From the openings until the first requests.
 PAUSE_S = site_module.STABILITY_S + 1.0
+# A planned stop is over, and the other VM has the zone's flows.
+STOP_S = 2.5
 
 
 class Loss:
@@ -38,9 +47,7 @@
         return True
 
 
-async def play(
-    record: site_module.Record, folder: pathlib.Path
-) -> bool:
+async def play(record: site_module.Record, folder: pathlib.Path) -> bool:
     """Play the case; return whether FLOW held."""
     site = site_module.Site(folder, record, zones=ZONES)
     try:
@@ -53,39 +60,58 @@
         client = site.add_client(ZONES[0])
         if site_module.has_trouble():
             client.loses = Loss(record)
-        flows = await open_flows(site, client)
+        restart = os.environ.get('VARIANT') == 'restart'
+        flows = await open_flows(site, client, at_once=restart)
         await asyncio.sleep(PAUSE_S)
         owners = dict(site.log.owners)
-        await send_requests(site, flows)
+        if restart:
+            site.vms[0].send_signal(signal.SIGTERM)
+            record.add(f'{site.vms[0].name} gets SIGTERM')
+            await asyncio.sleep(STOP_S)
+        await send_requests(site, flows, 'last')
         return report(site, flows, owners)
     finally:
         await site.close()
 
 
 async def open_flows(
-    site: site_module.Site, client: clients.Client
+    site: site_module.Site, client: clients.Client, *, at_once: bool
 ) -> list[clients.Flow]:
-    """Open flows at an even rate, ahead of their first requests."""
+    """Open flows at an even rate.
+
+    ``at_once`` is whether their first requests follow at once.
+    """
     flows = [client.make_flow(site.service) for _ in range(FLOWS)]
     async with asyncio.TaskGroup() as group:
         for flow in flows:
-            group.create_task(flow.open())
+            group.create_task(open_flow(site, flow, at_once))
             await asyncio.sleep(1.0 / FLOWS_PER_S)
     return flows
 
 
+async def open_flow(
+    site: site_module.Site, flow: clients.Flow, at_once: bool
+) -> None:
+    """Open a flow, and send a first request if that is to follow at once."""
+    await flow.open()
+    if at_once:
+        await request_once(site, flow, 'first')
+
+
 async def send_requests(
-    site: site_module.Site, flows: list[clients.Flow]
+    site: site_module.Site, flows: list[clients.Flow], label: str
 ) -> None:
     """Send a request on each open flow."""
     async with asyncio.TaskGroup() as group:
         for flow in flows:
-            group.create_task(request_once(site, flow))
+            group.create_task(request_once(site, flow, label))
             await asyncio.sleep(1.0 / FLOWS_PER_S)
 
 
-async def request_once(site: site_module.Site, flow: clients.Flow) -> None:
-    """Send a request on a flow, and close it."""
+async def request_once(
+    site: site_module.Site, flow: clients.Flow, label: str
+) -> None:
+    """Send a request on a flow."""
     port = flow.key[0][1]
     site.record.add(
         f'flow from port {port}: opened with {len(flow.openings)} openings, '
@@ -93,11 +119,10 @@
         flow.openings[0],
     )
     began_at = asyncio.get_running_loop().time()
-    name = f'request-{port}'
+    name = f'{label}-{port}'
     outcome = await flow.request(name)
     ran_at = [host.name for host in site.log.runs.get(name, [])]
     site.record.add(f'{name}: {outcome.value}, run by {ran_at}', began_at)
-    flow.close()
 
 
 def report(
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -23,9 +23,7 @@
 FLOWS_PER_S = {'caugiay': 170, 'longbien': 6, 'hadong': 6}
 
 
-async def play(
-    record: site_module.Record, folder: pathlib.Path
-) -> bool:
+async def play(record: site_module.Record, folder: pathlib.Path) -> bool:
     """Play the case; return whether FAILBACK held."""
     site = site_module.Site(
         folder,
--- a/review/standins/clients.py
+++ b/review/standins/clients.py
@@ -170,8 +170,7 @@
         if not self.is_open:
             return Outcome.NOT_OPENED
         head = (
-            'GET / HTTP/1.1\r\n'
-            f'X-Savoryhaven-Request-Id: {name}\r\n\r\n'
+            f'GET / HTTP/1.1\r\nX-Savoryhaven-Request-Id: {name}\r\n\r\n'
         ).encode()
         self._answer = b''
         loop = asyncio.get_running_loop()
--- a/review/standins/hosts.py
+++ b/review/standins/hosts.py
@@ -124,9 +124,7 @@
         )
 
     def _get_cold_s(self) -> float:
-        return max(
-            0.0, self.cold_until - asyncio.get_running_loop().time()
-        )
+        return max(0.0, self.cold_until - asyncio.get_running_loop().time())
 
     async def drain(self) -> int:
         """Report that the host leaves; it goes on serving."""
@@ -211,11 +209,11 @@
         self._end(key)
 
     def _send_opening_answer(self, key: Key, flow: _Flow) -> None:
-        self._send(
-            key, flow, packets.SYN | packets.ACK, flow.first_sequence
-        )
+        self._send(key, flow, packets.SYN | packets.ACK, flow.first_sequence)
 
-    def _start(self, work: typing.Coroutine[typing.Any, typing.Any, None]) -> None:
+    def _start(
+        self, work: typing.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -230,9 +228,7 @@
         flow = _Flow(0, 0, packet.echo, 0, 0)
         self._send(key, flow, packets.RST, packet.acknowledged)
 
-    def _continue(
-        self, key: Key, flow: _Flow, packet: packets.Packet
-    ) -> None:
+    def _continue(self, key: Key, flow: _Flow, packet: packets.Packet) -> None:
         flow.is_open = True
         flow.echo = packet.echo
         self._log.owners[key] = self
@@ -251,8 +247,7 @@
         while b'\r\n\r\n' in flow.received:
             head, _, flow.received = flow.received.partition(b'\r\n\r\n')
             fields = dict(
-                line.split(': ', 1)
-                for line in head.decode().split('\r\n')[1:]
+                line.split(': ', 1) for line in head.decode().split('\r\n')[1:]
             )
             name = fields['X-Savoryhaven-Request-Id']
             self._start(self._run(key, flow, name))
@@ -299,5 +294,3 @@
                 packet.encode(),
                 (packets.format_host(client[0]), self._client_port),
             )
-
-
--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -81,7 +81,10 @@
         ports = _find_ports(4)
         self.data_port, self._ready_port, self._peer_port = ports[:3]
         self._store_port = ports[3]
-        self.service = (packets.parse_host(self.make_address(SERVICES, 1)), 443)
+        self.service = (
+            packets.parse_host(self.make_address(SERVICES, 1)),
+            443,
+        )
         self.fabric = fabric_module.Fabric(
             self.data_port, self._ready_port, record.add
         )
@@ -222,9 +225,7 @@
         names = {vm.host: vm.name for vm in self.vms}
         return names.get(host, host)
 
-    def _make_settings(
-        self, number: int, zone: str
-    ) -> dict[str, typing.Any]:
+    def _make_settings(self, number: int, zone: str) -> dict[str, typing.Any]:
         host = self.make_address(VMS, number)
         seeds = [
             f'{self.make_address(MESH + number - 1, other)}:1'
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -129,9 +129,10 @@
         if not self._first_revision <= since <= self._revision:
             return 410, b'{}'
         try:
-            async with asyncio.timeout(
-                int(options.get('wait_ms', '0')) / 1000
-            ), self._changed:
+            async with (
+                asyncio.timeout(int(options.get('wait_ms', '0')) / 1000),
+                self._changed,
+            ):
                 while not (events := self._find_events(kind, since)):
                     await self._changed.wait()
         except TimeoutError:
