--- a/review/standins/clients.py
+++ b/review/standins/clients.py
@@ -74,6 +74,12 @@
         self._flows[port] = flow
         return flow
 
+    def reuse_port(self, flow: 'Flow') -> 'Flow':
+        """Return a flow from the port of one that has ended."""
+        again = Flow(self, flow.key)
+        self._flows[flow.key[0][1]] = again
+        return again
+
     def _read(self) -> None:
         while True:
             try:
@@ -196,6 +202,16 @@
         if self.is_open and self.reset is None:
             self._send(packets.FIN | packets.ACK)
 
+    async def close_and_wait(self) -> None:
+        """Close the client's side, and wait for the host's."""
+        for _ in OPENING_WAITS_S:
+            self.close()
+            if not self.is_open or self.reset is not None:
+                return
+            await self._wait(RETRANSMIT_S, lambda: self.ended)
+            if self.ended:
+                return
+
     def _is_done(self) -> bool:
         return self.reset is not None or self._is_complete()
 
--- a/review/standins/hosts.py
+++ b/review/standins/hosts.py
@@ -97,6 +97,8 @@
         self.started_at = asyncio.get_running_loop().time()
         self.cold_until = self.started_at + cold_s
         self._flows: dict[Key, _Flow] = {}
+        # The flows that have ended here, as they were.
+        self._ended: dict[Key, _Flow] = {}
         self._tasks: set[asyncio.Task] = set()
         self._socket = packets.bind_datagrams(address)
         asyncio.get_running_loop().add_reader(self._socket, self._read)
@@ -173,6 +175,10 @@
         flow = self._flows.get(key)
         if packet.flags & packets.SYN:
             self._open(key, flow, packet, sender)
+        elif flow is None and key in self._ended and not packet.data:
+            if packet.flags & packets.FIN:
+                ended = self._ended[key]
+                self._send(key, ended, packets.FIN | packets.ACK, ended.sent)
         elif flow is None or not self._is_of_flow(flow, packet):
             self._reset(key, packet, sender)
         elif packet.flags & packets.RST:
@@ -195,6 +201,7 @@
                 first, packet.sequence + 1, packet.echo, first + 1, first + 1
             )
             self._flows[key] = flow
+            self._ended.pop(key, None)
             self._start(self._answer_opening(key, flow))
         elif not flow.is_open:
             self._send_opening_answer(key, flow)
@@ -273,7 +280,9 @@
             self._send(key, flow, packets.FIN | packets.ACK, flow.sent)
 
     def _end(self, key: Key) -> None:
-        self._flows.pop(key, None)
+        flow = self._flows.pop(key, None)
+        if flow is not None and flow.is_open:
+            self._ended[key] = flow
         if self._log.owners.get(key) is self:
             del self._log.owners[key]
 
--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -291,17 +291,21 @@
     """Return the first two octets of loopback addresses that are free."""
     for second in range(20, 250):
         network = f'127.{second}'
-        probe = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        lock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
-            probe.bind((f'{network}.{VMS}.1', 9464))
+            # Bound until the process ends, so that no other run picks it.
+            lock.bind((f'{network}.255.254', 9464))
         except OSError:
+            lock.close()
             continue
-        finally:
-            probe.close()
+        _locks.append(lock)
         return network
     raise RuntimeError('no free loopback addresses')
 
 
+_locks: list[socket.socket] = []
+
+
 def _find_ports(count: int) -> list[int]:
     """Return ports that are free."""
     probes = []
