--- a/review/standins/fabric.py
+++ b/review/standins/fabric.py
@@ -25,7 +25,7 @@
         self._ready_port = ready_port
         self._zones: dict[str, list[str]] = {}
         self._misses: dict[str, int] = {}
-        self._tasks: list[asyncio.Task] = []
+        self._tasks: dict[str, asyncio.Task] = {}
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
 
@@ -33,11 +33,19 @@
         """Poll a VM from now on."""
         self._zones.setdefault(zone, []).append(host)
         self._misses[host] = MISSES
-        self._tasks.append(asyncio.create_task(self._poll(host)))
+        self._tasks[host] = asyncio.create_task(self._poll(host))
+
+    def remove_vm(self, host: str) -> None:
+        """Forget a VM that was taken away."""
+        for hosts in self._zones.values():
+            if host in hosts:
+                hosts.remove(host)
+        self._misses.pop(host)
+        self._tasks.pop(host).cancel()
 
     def close(self) -> None:
         """Stop polling."""
-        for task in self._tasks:
+        for task in self._tasks.values():
             task.cancel()
         self._socket.close()
 
--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -130,20 +130,40 @@
             link.close()
         self.store.close()
 
-    async def start_vms(self) -> None:
-        """Start all VMs, and wait until they are in the rotation."""
-        for vm, zone in zip(self.vms, self.zones, strict=True):
+    def change_seeds(self, number: int, others: typing.Iterable[int]) -> None:
+        """Give a VM that has not started other seeds; all count from one."""
+        vm = self.vms[number - 1]
+        vm.change_settings(
+            peers={
+                'port': self._peer_port,
+                'seeds': self._list_seeds(number, others),
+            }
+        )
+        names = [self.vms[other - 1].name for other in others]
+        self.record.add(f'the seeds of {vm.name} are {names}')
+
+    async def start_vms(
+        self, numbers: typing.Iterable[int] | None = None
+    ) -> None:
+        """Start VMs, all by default, and wait until they are in the rotation.
+
+        ``numbers`` count from one.
+        """
+        if numbers is None:
+            numbers = range(1, len(self.vms) + 1)
+        started = [self.vms[number - 1] for number in numbers]
+        for vm in started:
             await vm.start()
-            self.fabric.add_vm(vm.host, zone)
+            self.fabric.add_vm(vm.host, self.zones[self.vms.index(vm)])
         async with asyncio.timeout(READY_TIMEOUT_S):
             while not all(
-                self.fabric.is_in_rotation(vm.host) for vm in self.vms
+                self.fabric.is_in_rotation(vm.host) for vm in started
             ):
-                for vm in self.vms:
+                for vm in started:
                     if vm.status is not None:
                         raise RuntimeError(f'{vm.name} has ended')
                 await asyncio.sleep(0.05)
-        self.record.add('all VMs are in the rotation')
+        self.record.add(f'{len(started)} VMs are in the rotation')
 
     async def configure(self, version: int, service: str) -> None:
         """Write a configuration with one route."""
@@ -227,11 +247,7 @@
 
     def _make_settings(self, number: int, zone: str) -> dict[str, typing.Any]:
         host = self.make_address(VMS, number)
-        seeds = [
-            f'{self.make_address(MESH + number - 1, other)}:1'
-            for other in range(1, min(3, len(self.zones)) + 1)
-            if other != number
-        ]
+        others = range(1, min(3, len(self.zones)) + 1)
         return {
             'vm_id': f'frontend-{zone}-{number}',
             'failure_domain': zone,
@@ -242,7 +258,10 @@
                 'address': f'{host}:{self._ready_port}',
                 'path': '/v1/readiness',
             },
-            'peers': {'port': self._peer_port, 'seeds': seeds},
+            'peers': {
+                'port': self._peer_port,
+                'seeds': self._list_seeds(number, others),
+            },
             'store': {
                 'address': (
                     f'{self.make_address(STORE_LINKS, number)}'
@@ -255,6 +274,15 @@
             **self._settings,
         }
 
+    def _list_seeds(
+        self, number: int, others: typing.Iterable[int]
+    ) -> list[str]:
+        return [
+            f'{self.make_address(MESH + number - 1, other)}:1'
+            for other in others
+            if other != number
+        ]
+
 
 def run_case(
     play: typing.Callable[[Record, pathlib.Path], typing.Awaitable[bool]],
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -25,6 +25,9 @@
 
     def __init__(self, revision: int) -> None:
         self._revision = revision
+        # How often the store came back from a copy; answers name it if known.
+        self.era: int | None = None
+        self._is_away = False
         self._first_revision = revision
         self._objects: dict[str, dict[str, _Item]] = {}
         self._history: list[tuple[int, str, _Item, bool]] = []
@@ -40,6 +43,28 @@
         if self._server is not None:
             self._server.close()
 
+    def take_copy(self) -> tuple[int, dict[str, dict[str, _Item]]]:
+        """Return the revision and all objects."""
+        objects = {kind: dict(items) for kind, items in self._objects.items()}
+        return self._revision, objects
+
+    async def go_away(self) -> None:
+        """Answer nothing from now on; watches that wait are cut off."""
+        self._is_away = True
+        async with self._changed:
+            self._changed.notify_all()
+
+    def come_back(
+        self, copy: tuple[int, dict[str, dict[str, _Item]]] | None = None
+    ) -> None:
+        """Answer again, as of a copy if one is given."""
+        self._is_away = False
+        if copy is not None:
+            self._revision, self._objects = copy
+            self._first_revision = self._revision
+            self._history.clear()
+            self.era += 1
+
     async def put(self, kind: str, name: str, spec: typing.Any) -> int:
         """Write an object; return its revision."""
         known = self._objects.get(kind, {}).get(name)
@@ -80,15 +105,22 @@
     ) -> None:
         try:
             head = await reader.readuntil(b'\r\n\r\n')
+            if self._is_away:
+                return
             method, target, _ = head.split(b'\r\n')[0].decode().split(' ')
+            era = self.era
             status, body = await self._answer(method, target)
-            writer.write(
-                f'HTTP/1.1 {status} Answer\r\n'
-                'Content-Type: application/json\r\n'
-                f'Content-Length: {len(body)}\r\n'
-                'Connection: close\r\n\r\n'.encode()
-                + body
-            )
+            if self._is_away or self.era != era:
+                return
+            lines = [
+                f'HTTP/1.1 {status} Answer',
+                'Content-Type: application/json',
+                f'Content-Length: {len(body)}',
+                'Connection: close',
+            ]
+            if era is not None:
+                lines.append(f'Store-Era: {era}')
+            writer.write('\r\n'.join((*lines, '', '')).encode() + body)
             await writer.drain()
         except (OSError, EOFError, asyncio.IncompleteReadError):
             pass
@@ -133,7 +165,10 @@
                 asyncio.timeout(int(options.get('wait_ms', '0')) / 1000),
                 self._changed,
             ):
-                while not (events := self._find_events(kind, since)):
+                while not (
+                    (events := self._find_events(kind, since))
+                    or self._is_away
+                ):
                     await self._changed.wait()
         except TimeoutError:
             events = []
--- a/review/standins/vms.py
+++ b/review/standins/vms.py
@@ -22,9 +22,15 @@
         self.host = settings['data_address'].partition(':')[0]
         self._path = folder / f'{self.name}.json'
         self._log_path = folder / f'{self.name}.log'
-        self._path.write_text(json.dumps(settings, indent=2))
+        self._settings = settings
+        self.change_settings()
         self._process: asyncio.subprocess.Process | None = None
 
+    def change_settings(self, **changes: typing.Any) -> None:
+        """Write the settings file with changes."""
+        self._settings = {**self._settings, **changes}
+        self._path.write_text(json.dumps(self._settings, indent=2))
+
     async def start(self) -> None:
         """Start the process."""
         environment = {
