Review: case 2, flows that an entry of another writer takes over

An entry called backup-<digits of a host's id>, of a service that is not named, takes the tag of the host. Scripts that are told to stop end their processes.

--- a/review/standins/hosts.py
+++ b/review/standins/hosts.py
@@ -37,16 +37,29 @@
     host: 'Host'
 
 
+@dataclasses.dataclass
+class Arrival:
+    """A packet of a flow that reached a host, whichever it is meant for."""
+
+    at: float
+    sender: str
+    key: Key
+    host: 'Host'
+
+
 @dataclasses.dataclass
 class Log:
     """What all hosts saw and did."""
 
     openings: list[Opening] = dataclasses.field(default_factory=list)
     resets: list[Reset] = dataclasses.field(default_factory=list)
+    # Packets that are no openings.
+    arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     # The hosts that ran a request, by its id.
     runs: dict[str, list['Host']] = dataclasses.field(default_factory=dict)
-    # The host at which a flow is open.
+    # The host at which a flow is open, and the last one at which it was.
     owners: dict[Key, 'Host'] = dataclasses.field(default_factory=dict)
+    last_owners: dict[Key, 'Host'] = dataclasses.field(default_factory=dict)
     altered: int = 0
 
 
@@ -163,6 +176,12 @@
             (wanted,) = packets.PREFIX.unpack_from(raw)
             if sender[0] in self.cut_from or packet is None:
                 continue
+            if not packet.flags & packets.SYN:
+                now = asyncio.get_running_loop().time()
+                key = (packet.source, packet.destination)
+                self._log.arrivals.append(
+                    Arrival(now, sender[0], key, self)
+                )
             if wanted not in (0, self._wire_id):
                 continue
             if not packet.intact:
@@ -239,6 +258,7 @@
         flow.is_open = True
         flow.echo = packet.echo
         self._log.owners[key] = self
+        self._log.last_owners[key] = self
         flow.acknowledged = packet.acknowledged
         if packet.data and packet.sequence == flow.expected:
             flow.expected += len(packet.data)
--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import random
+import signal
 import socket
 import sys
 import tempfile
@@ -22,6 +23,8 @@
 STABILITY_S = 4.0
 DRAIN_S = 3.0
 READY_TIMEOUT_S = 20.0
+# Longest play; ending the processes takes a few seconds more.
+LENGTH_MAX_S = 105.0
 # Third octets of addresses; those of the mesh follow.
 VMS, HOSTS, CLIENTS, STORE, STORE_LINKS, SERVICES, MESH = range(1, 8)
 HELD, BROKEN, NOT_RUN = 0, 1, 2
@@ -297,12 +300,17 @@
     folder: pathlib.Path,
 ) -> int:
     record = Record(folder / 'record.txt')
+    # A script that is told to stop ends its processes too.
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGTERM, asyncio.current_task().cancel
+    )
     try:
         with tempfile.TemporaryDirectory() as temporary:
-            held = await play(record, pathlib.Path(temporary))
+            async with asyncio.timeout(LENGTH_MAX_S):
+                held = await play(record, pathlib.Path(temporary))
         record.add('the rule held' if held else 'THE RULE WAS BROKEN')
         return HELD if held else BROKEN
-    except Exception:  # noqa: B902 - any failure means that it did not run
+    except (Exception, asyncio.CancelledError):  # noqa: B902 - did not run
         record.add(f'the case did not run:\n{traceback.format_exc()}')
         traceback.print_exc()
         return NOT_RUN
