--- a/review/standins/hosts.py
+++ b/review/standins/hosts.py
@@ -179,9 +179,7 @@
             if not packet.flags & packets.SYN:
                 now = asyncio.get_running_loop().time()
                 key = (packet.source, packet.destination)
-                self._log.arrivals.append(
-                    Arrival(now, sender[0], key, self)
-                )
+                self._log.arrivals.append(Arrival(now, sender[0], key, self))
             if wanted not in (0, self._wire_id):
                 continue
             if not packet.intact:
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -166,8 +166,7 @@
                 self._changed,
             ):
                 while not (
-                    (events := self._find_events(kind, since))
-                    or self._is_away
+                    (events := self._find_events(kind, since)) or self._is_away
                 ):
                     await self._changed.wait()
         except TimeoutError:
