Only a flow's first packet shows where its handshake ended

By reading: a VM that got a later packet with the tag of an upstream which another VM had tried announced that upstream, though a late answer may have set the tag. A VM of a large fleet spent its three requests for places on seeds of other failure domains. Openings no longer keep whether they are contested, as the places of flows say it.

--- a/packages/savoryhaven/src/_savoryhaven/datapath/flows.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/flows.py
@@ -167,7 +167,7 @@
         self.remove(packet.key, now)
         if len(self._flows) >= self.limit:
             return None
-        before = (packet.sequence - 1) % packets.SEQUENCE_MODULUS
+        before = packets.precede(packet.sequence)
         flow = ObservedFlow(state, before, packet.acknowledged, before, now)
         self._flows[packet.key] = flow
         return flow
--- a/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
@@ -174,7 +174,10 @@
             return
         state.note_answer(now)
         self.opening_latency.record(now - opening.first_sent_at)
-        if opening.contested or state not in opening.tried:
+        if state not in opening.tried and (
+            packets.precede(packet.sequence) == opening.sequence
+        ):
+            # Another VM has sent a copy to this upstream.
             self._decide_place(packet, state, now)
 
     def _find_place(
@@ -216,9 +219,11 @@
         now: float,
     ) -> None:
         """Announce the upstream that has the end of a flow's handshake."""
-        before = (packet.sequence - 1) % packets.SEQUENCE_MODULUS
         place = packets.FlowPlace(
-            *packet.key, before, state.upstream.tag, packet.acknowledged
+            *packet.key,
+            packets.precede(packet.sequence),
+            state.upstream.tag,
+            packet.acknowledged,
         )
         self._announce_place(place, state, now)
 
@@ -254,9 +259,6 @@
         """Compare what a peer has announced with what this VM saw."""
         flow = self.flows.get(place.key)
         if place.acknowledged == packets.NOT_OPEN:
-            opening = self.openings.get(place.key)
-            if opening is not None:
-                opening.contested = True
             if flow is not None and flow.opening_sequence == place.sequence:
                 # The copy came late: the flow is open already.
                 self._announce_flow(flow, place.key, now)
--- a/packages/savoryhaven/src/_savoryhaven/datapath/new_flows.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/new_flows.py
@@ -357,16 +357,17 @@
             opening is None or state not in opening.tried
         ):
             self._cold_start.slow_start.note_opening(state, now)
-        contested = self._is_contested(packet, opening, now)
+        if self._is_contested(packet, opening, now):
+            self._parts.places.note_copy(packet, state.upstream.tag, now)
         if opening is None:
             self._flows.remove(packet.key, now)
-            self.openings.start(packet.key, state, now, contested=contested)
+            self.openings.start(
+                packet.key, state, now, sequence=packet.sequence
+            )
             self._parts.counters[_Count.OPENED] += 1
         else:
             self.openings.move(opening, state, now)
             self._parts.counters[_Count.MOVED] += 1
-        if contested:
-            self._parts.places.note_copy(packet, state.upstream.tag, now)
         self._send_opening(packet, state)
         self._refusals.emit(
             'flow_opened' if opening is None else 'opening_moved',
--- a/packages/savoryhaven/src/_savoryhaven/datapath/openings.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/openings.py
@@ -25,14 +25,13 @@
     """An opening without a later packet of its flow.
 
     ``tried`` lists the upstreams that it was sent to, in this order.
-    ``contested`` is whether more than one upstream may answer it, as far as
-    this VM and its peers know.
+    ``sequence`` is its sequence number.
     """
 
     tried: list[upstreams.UpstreamState]
     sent_at: float
     first_sent_at: float
-    contested: bool = False
+    sequence: int = 0
 
     @property
     def state(self) -> upstreams.UpstreamState:
@@ -65,12 +64,12 @@
         state: upstreams.UpstreamState,
         now: float,
         *,
-        contested: bool = False,
+        sequence: int = 0,
     ) -> None:
         """Record that an opening is sent to its first upstream."""
         if len(self._openings) >= self.limit:
             self._end(next(iter(self._openings)), now)
-        self._openings[key] = Opening([state], now, now, contested)
+        self._openings[key] = Opening([state], now, now, sequence)
         state.add_opening(1, now)
 
     def is_overdue(self, opening: Opening, now: float) -> bool:
@@ -87,7 +86,6 @@
         """Record that an opening is sent to another upstream."""
         opening.state.add_opening(-1, now)
         opening.tried.append(state)
-        opening.contested = True
         opening.sent_at = now
         state.add_opening(1, now)
 
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/flow_places.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/flow_places.py
@@ -101,8 +101,7 @@
 
         Only the first one after the opening is certain to have the right tag.
         """
-        before = (packet.sequence - 1) % packets.SEQUENCE_MODULUS
-        entry = self._find(packet.key, before)
+        entry = self._find(packet.key, packets.precede(packet.sequence))
         return entry is not None and entry.place is None
 
     def find_tag(self, packet: packets.FlowPacket) -> int | None:
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
@@ -45,7 +45,8 @@
 # of one domain, and to the nearest others if that has none; a domain with
 # fewer other VMs than this announces to the VMs of all domains.
 PLACE_PEERS_MIN = 4
-# Peers that a VM asks for the places of flows when it has started.
+# Peers that a VM asks for the places of flows when it has started, of its own
+# domain and of others.
 PLACE_REQUESTS = 3
 # Unreadable fields of peers whose log line is not repeated; bounds the memory
 # that datagrams from many addresses can take.
@@ -101,7 +102,8 @@
         )
         self._logged_fields: set[tuple[str, str]] = set()
         self._round = 0
-        self._place_requests = 0
+        # By whether the peer is in the same failure domain.
+        self._place_requests: collections.Counter[bool] = collections.Counter()
         # Bytes of each heartbeat since before the last full one.
         self._heartbeat_bytes: collections.deque[int] = collections.deque(
             maxlen=HEARTBEATS_PER_FULL
@@ -268,15 +270,12 @@
         The fabric sends packets of flows that are open already to a VM that
         starts.
         """
-        if self._place_requests >= PLACE_REQUESTS:
-            return
         near = heartbeat.failure_domain == self._failure_domain
-        if near or host in self._list_place_hosts(now):
-            self._place_requests += 1
-            request = messages.SnapshotRequest(
-                self.members.vm_id, messages.PLACES
-            )
-            self._send_message(request, host)
+        if self._place_requests[near] >= PLACE_REQUESTS:
+            return
+        self._place_requests[near] += 1
+        request = messages.SnapshotRequest(self.members.vm_id, messages.PLACES)
+        self._send_message(request, host)
 
     def _compare_configuration(
         self, heartbeat: messages.Heartbeat, host: str, now: float
--- a/packages/savoryhaven/src/_savoryhaven/model/packets.py
+++ b/packages/savoryhaven/src/_savoryhaven/model/packets.py
@@ -103,6 +103,14 @@
     return wire_id % (1 << TAG_BITS) or 1
 
 
+def precede(sequence: int) -> int:
+    """Return the number before a sequence number.
+
+    That of an opening comes before those of the flow's first packets.
+    """
+    return (sequence - 1) % SEQUENCE_MODULUS
+
+
 def is_same_flow(acknowledged: int, earlier: int) -> bool:
     """Return whether two packets acknowledge bytes of the same upstream.
 
--- a/packages/savoryhaven/src/_savoryhaven/operation/pages.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/pages.py
@@ -125,6 +125,7 @@
         'catalogue_age_s': _round(node.read_age(node.catalogue.confirmed_at)),
         'upstreams': len(node.catalogue.list_present()),
         'flows': len(node.forwarder.flows),
+        'contested_flows': len(node.places),
         'evacuations': _describe_evacuations(node, now),
         'cold_upstreams': len(_list_cold(node)),
         'peers': sorted(
--- a/packages/savoryhaven/tests/test_contested_flows.py
+++ b/packages/savoryhaven/tests/test_contested_flows.py
@@ -297,3 +297,60 @@
     ]
     vm.places.receive(places, vm.clock.now)
     assert len(vm.places) == flow_places.PLACE_LIMIT
+
+
+# Guards against a copy from another VM that is taken for the flow's upstream
+# because of a later packet, which may have the tag of a later answer.
+@params((OPENING + 1, 1), (OPENING + 91, 0))
+def test_only_the_first_packet_shows_the_upstream_of_another_vms_copy(
+    sequence: int, placed: int
+) -> None:
+    vm = tagged.Vm()
+    learn(vm)
+    vm.receive(make_opening())
+    tried, _ = take_target(vm)
+    other = next(n for n in UPSTREAMS if n != tried)
+    vm.receive(make_packet(other, other, sequence=sequence))
+    assert take_target(vm) == (other, other)
+    assert len(vm.places) == placed
+
+
+# Guards against an open flow that is reset because a copy of its opening,
+# which was late, is refused.
+def test_a_late_copy_is_not_refused() -> None:
+    vm = tagged.Vm()
+    learn(vm)
+    vm.receive(make_opening())
+    owner, _ = take_target(vm)
+    vm.receive(make_packet(owner, owner))
+    vm.learn([], revision=200)
+    vm.receive(make_opening(1))
+    assert not vm.resets
+
+
+# Guards against a VM of a large fleet that asks only its seeds, which are in
+# other failure domains, for the places of flows.
+def test_a_vm_that_starts_asks_peers_of_its_own_domain() -> None:
+    vm = tagged.Vm()
+    network = tagged.Network(clock=vm.clock)
+    vm.join(network, '10.0.0.1')
+    for number in range(2, 12):
+        heartbeat = messages.Heartbeat(
+            vm_id=f'v-{number}',
+            incarnation=1,
+            failure_domain='b' if number < 8 else 'a',
+            ready=True,
+            configuration_version=0,
+            configuration_age_ms=-1,
+            catalogue_revision=0,
+            catalogue_digest=0,
+            catalogue_age_ms=-1,
+        )
+        raw = messages.encode_message(heartbeat)
+        vm.gossip.receive(raw, f'10.0.0.{number}', vm.clock.now)
+    asked = [
+        receiver
+        for data, _, receiver in network._queue
+        if isinstance(messages.decode_message(data), messages.SnapshotRequest)
+    ]
+    assert asked == [f'10.0.0.{number}' for number in (2, 3, 4, 8, 9, 10)]
