Announce places of flows twice, and all of them within a budget

By reading: a lost datagram left a peer without a flow's place, so each is announced once more, several at a time; copies whose predecessors this VM had not seen were not remembered once announcements had used up their bytes; a VM without upstreams did not ask a peer of the build before that had none either.

--- a/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
@@ -201,7 +201,7 @@
         self.resets: list[packets.FlowKey] = []
         self.requested_tags: list[int] = []
         self.places = flow_places.FlowPlaces(
-            self._announce_place,
+            self._announce_places,
             lambda: self.gossip.get_spare_rate() if self.gossip else 0.0,
             counters=self.counters,
         )
@@ -242,10 +242,12 @@
     def _record_requested_tag(self, tag: int, now: float) -> None:
         self.requested_tags.append(tag)
 
-    def _announce_place(self, place: packets.FlowPlace, now: float) -> int:
+    def _announce_places(
+        self, places: tuple[packets.FlowPlace, ...], now: float
+    ) -> int:
         if self.gossip is None:
             return 0
-        return self.gossip.announce_place(place, now)
+        return self.gossip.announce_places(places, now)
 
     def join(
         self, network: 'Network', host: str, *, link_mbps: float = 0.0
--- a/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
@@ -115,6 +115,7 @@
     def expire(self, now: float) -> None:
         """Remove expired openings and flows."""
         self.openings.expire(now)
+        self._places.repeat(now)
         self._places.expire(now)
         current = self._routes.current
         if current is not None:
--- a/packages/savoryhaven/src/_savoryhaven/datapath/new_flows.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/new_flows.py
@@ -357,7 +357,7 @@
             opening is None or state not in opening.tried
         ):
             self._cold_start.slow_start.note_opening(state, now)
-        if self._is_contested(packet, opening, now):
+        if self._is_contested(packet, opening):
             self._parts.places.note_copy(packet, state.upstream.tag, now)
         if opening is None:
             self._flows.remove(packet.key, now)
@@ -383,17 +383,14 @@
         self,
         packet: packets.FlowPacket,
         opening: openings_module.Opening | None,
-        now: float,
     ) -> bool:
         """Return whether upstreams tried earlier may answer an opening too.
 
         Another VM may have sent earlier copies to one of them.
         """
-        if opening is not None:
+        if opening is not None or packet.acknowledged:
             return True
-        if not packet.acknowledged:
-            return bool(self._parts.places.list_tried(packet))
-        return self._parts.places.may_contest(now)
+        return bool(self._parts.places.list_tried(packet))
 
     def _send_opening(
         self, packet: packets.FlowPacket, state: upstreams.UpstreamState
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/flow_places.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/flow_places.py
@@ -20,8 +20,10 @@
 PLACE_LIMIT = 4_000
 # What announcements may use at once of what heartbeats leave of a VM's control
 # traffic. Beyond it, copies of openings go to the upstream that they went to
-# before.
+# before. The places of flows that opened meanwhile may use as much again.
 ANNOUNCED_BURST_BYTES = 4_000.0
+# Places in a datagram, at 45 bytes at most.
+ANNOUNCED_MAX_PLACES = 24
 
 _Count = counters_module.Count
 
@@ -47,14 +49,14 @@
 class FlowPlaces:
     """The flows that more than one upstream may have answered, up to a limit.
 
-    ``announce`` sends a place to peers, and returns how many bytes it sent;
+    ``announce`` sends places to peers, and returns how many bytes it sent;
     ``get_spare_rate`` returns how many bytes per second it may send.
     ``on_news`` is called with what a peer has announced, unless it was known.
     """
 
     def __init__(
         self,
-        announce: typing.Callable[[packets.FlowPlace, float], int],
+        announce: typing.Callable[[tuple[packets.FlowPlace, ...], float], int],
         get_spare_rate: typing.Callable[[], float],
         *,
         counters: counters_module.Counters,
@@ -66,6 +68,8 @@
         self.on_news = _ignore_news
         # The entry that was made first comes first.
         self._entries: dict[packets.FlowKey, _Entry] = {}
+        # Places of open flows that were announced once.
+        self._unrepeated: list[packets.FlowPlace] = []
         self._credit_bytes = ANNOUNCED_BURST_BYTES
         self._credited_at = 0.0
 
@@ -78,13 +82,16 @@
         If the two could not be announced, peers would not know which of them
         has the flow.
         """
+        return self._update_credit(now) > 0
+
+    def _update_credit(self, now: float) -> float:
         elapsed_s = now - self._credited_at
         self._credited_at = now
         self._credit_bytes = min(
             ANNOUNCED_BURST_BYTES,
             self._credit_bytes + elapsed_s * self._get_spare_rate(),
         )
-        return self._credit_bytes > 0
+        return self._credit_bytes
 
     def list_tried(self, opening: packets.FlowPacket) -> frozenset[int]:
         """Return the tags of upstreams that VMs sent copies to."""
@@ -121,14 +128,24 @@
         """Announce that an opening goes to one of several upstreams."""
         place = packets.FlowPlace(*opening.key, opening.sequence, tag)
         self._merge(place, now)
-        self._send(place, now)
+        if self.may_contest(now):
+            self._send((place,), now)
 
     def decide(self, place: packets.FlowPlace, now: float) -> bool:
         """Announce which upstream has an open flow; return if it is news."""
-        news = self._merge(place, now)
-        if news:
-            self._send(place, now)
-        return news
+        if not self._merge(place, now):
+            return False
+        if self._update_credit(now) > -ANNOUNCED_BURST_BYTES:
+            self._send((place,), now)
+            self._unrepeated.append(place)
+        return True
+
+    def repeat(self, now: float) -> None:
+        """Announce places again, as datagrams are lost now and then."""
+        places = tuple(self._unrepeated[:ANNOUNCED_MAX_PLACES])
+        self._unrepeated.clear()
+        if places and self.may_contest(now):
+            self._send(places, now)
 
     def receive(
         self, places: typing.Iterable[packets.FlowPlace], now: float
@@ -183,9 +200,9 @@
         self._entries[place.key] = entry
         return entry
 
-    def _send(self, place: packets.FlowPlace, now: float) -> None:
-        self._counters[_Count.PLACES_ANNOUNCED] += 1
-        self._credit_bytes -= self._announce(place, now)
+    def _send(self, places: tuple[packets.FlowPlace, ...], now: float) -> None:
+        self._counters[_Count.PLACES_ANNOUNCED] += len(places)
+        self._credit_bytes -= self._announce(places, now)
 
 
 def _is_replaced(entry: _Entry, place: packets.FlowPlace) -> bool:
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
@@ -158,14 +158,17 @@
         rate = sum(self._heartbeat_bytes) / period_s
         return max(0.0, CONTROL_BYTES_PER_S - rate)
 
-    def announce_place(self, place: packets.FlowPlace, now: float) -> int:
-        """Send the place of a flow to the VMs that may get its packets.
+    def announce_places(
+        self, places: tuple[packets.FlowPlace, ...], now: float
+    ) -> int:
+        """Send the places of flows to the VMs that may get their packets.
 
         Return how many bytes were sent.
         """
         hosts = self._list_place_hosts(now)
-        notice = messages.CatalogueNotice(places=(place,))
-        return self._send_to_all(notice, hosts)
+        return self._send_to_all(
+            messages.CatalogueNotice(places=places), hosts
+        )
 
     def _list_place_hosts(self, now: float) -> list[str]:
         live = self.members.list_live(now)
@@ -302,7 +305,7 @@
         same = digest == catalogue.digest
         if digests.is_weak(digest):
             same = digest == catalogue.weak_digest
-            if same and revision > catalogue.revision:
+            if same and 0 < catalogue.revision < revision:
                 # The upstreams may differ all the same. This VM reads the
                 # store itself unless a peer of its build confirms them.
                 return
--- a/packages/savoryhaven/src/_savoryhaven/operation/node.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/node.py
@@ -114,7 +114,7 @@
             else None
         )
         self.places: typing.Final = flow_places.FlowPlaces(
-            self._announce_place,
+            self._announce_places,
             lambda: self.gossip.get_spare_rate(),
             counters=self.counters,
         )
@@ -523,8 +523,10 @@
     def _request_tag(self, tag: int, now: float) -> None:
         self.gossip.request_removed(now)
 
-    def _announce_place(self, place: packets.FlowPlace, now: float) -> int:
-        return self.gossip.announce_place(place, now)
+    def _announce_places(
+        self, places: tuple[packets.FlowPlace, ...], now: float
+    ) -> int:
+        return self.gossip.announce_places(places, now)
 
     def _send_to_peer(self, data: bytes, host: str) -> None:
         if not self._peers.send(data, (host, self.settings.peers.port)):
--- a/packages/savoryhaven/tests/test_digests.py
+++ b/packages/savoryhaven/tests/test_digests.py
@@ -211,3 +211,19 @@
     for heartbeat in (older, strong, make_older_heartbeat(vm)):
         raw = messages.encode_message(heartbeat)
         assert messages.decode_message(raw) == heartbeat
+
+
+# Guards against a VM that has no upstreams yet and takes a peer of the build
+# before, whose service has none either, for one that knows as much.
+def test_a_vm_without_upstreams_asks_a_peer_of_the_build_before() -> None:
+    network = tagged.make_network(1)
+    (vm,) = network.vms.values()
+    older = make_older_heartbeat(vm, catalogue_revision=50)
+    vm.clock.now += 1.0
+    receive(vm, older)
+    asked = [
+        sent.subject
+        for sent in list_sent(vm)
+        if isinstance(sent, messages.SnapshotRequest)
+    ]
+    assert messages.CATALOGUE in asked
