A VM that starts reads packets once it knows the places of flows

Peers answer a VM that starts again before they miss it; it waits for the places from a ready peer, 50 ms at most, and peers answer even with none.

--- a/deploy/late_imports.py
+++ b/deploy/late_imports.py
@@ -10,11 +10,13 @@
         ...
 
 if only functions use the name. A module's ``__getattr__`` imports the name
-for other modules.
+for other modules. The name of the interpreter, for which attrs imports
+``platform``, is known when the bundle is built.
 """
 
 import ast
 import importlib.util
+import platform
 import typing
 
 # Modules that no function on the path to the first packet uses.
@@ -31,6 +33,7 @@
         'attrs.validators',
         'linecache',
         'locale',
+        'platform',
         'textwrap',
         'tokenize',
         'traceback',
@@ -45,6 +48,7 @@
 
 def move_imports(tree: ast.Module, name: str, *, is_package: bool) -> ast.AST:
     """Return a module's tree with late imports, as far as there are any."""
+    tree = _ReplaceInterpreterName().visit(tree)
     package = name if is_package else name.rpartition('.')[0]
     late_classes = LATE_CLASSES.get(name, frozenset())
     early = _list_early_names(tree, late_classes)
@@ -66,6 +70,19 @@
     return ast.fix_missing_locations(tree)
 
 
+class _ReplaceInterpreterName(ast.NodeTransformer):
+    """Replaces ``platform.python_implementation()`` by its result."""
+
+    def visit_Call(self, node: ast.Call) -> ast.AST:  # noqa: N802
+        """Return the result for such a call, and other calls as they are."""
+        self.generic_visit(node)
+        match node.func:
+            case ast.Attribute(ast.Name('platform'), 'python_implementation'):
+                name = platform.python_implementation()
+                return ast.copy_location(ast.Constant(name), node)
+        return node
+
+
 def _split_import(
     node: ast.stmt, package: str, early: set[str]
 ) -> tuple[dict[str, ast.stmt], list[ast.stmt]]:
--- a/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
@@ -250,7 +250,12 @@
         return self.gossip.announce_places(places, now)
 
     def join(
-        self, network: 'Network', host: str, *, link_mbps: float = 0.0
+        self,
+        network: 'Network',
+        host: str,
+        *,
+        link_mbps: float = 0.0,
+        incarnation: int = 1,
     ) -> None:
         """Attach the VM to a network, with gossip and a store."""
         self.host = host
@@ -262,7 +267,7 @@
             catalogue=self.catalogue,
             places=self.places,
             failure_domain='a',
-            incarnation=1,
+            incarnation=incarnation,
             send=self._send_to_peer,
             decode_configuration=decode_configuration,
             counters=self.counters,
@@ -409,9 +414,13 @@
     def deliver(self) -> None:
         """Deliver queued datagrams, and those sent in response."""
         while self._queue:
-            data, sender, receiver = self._queue.pop(0)
-            self.sent_bytes += len(data)
-            self._hand_over(data, sender, receiver)
+            self.deliver_next()
+
+    def deliver_next(self) -> None:
+        """Deliver the datagram that was sent first."""
+        data, sender, receiver = self._queue.pop(0)
+        self.sent_bytes += len(data)
+        self._hand_over(data, sender, receiver)
 
     def _hand_over(self, data: bytes, sender: str, receiver: str) -> None:
         if self.cut & {sender, receiver} or receiver not in self.vms:
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
@@ -48,6 +48,8 @@
 # Peers that a VM asks for the places of flows when it has started, of its own
 # domain and of others.
 PLACE_REQUESTS = 3
+# Longest wait for the first answer: some round trips between failure domains.
+PLACES_WAIT_S = 0.05
 # Unreadable fields of peers whose log line is not repeated; bounds the memory
 # that datagrams from many addresses can take.
 MAX_LOGGED_FIELDS = 1_000
@@ -104,6 +106,7 @@
         self._round = 0
         # By whether the peer is in the same failure domain.
         self._place_requests: collections.Counter[bool] = collections.Counter()
+        self._places_due_at = -math.inf
         # Bytes of each heartbeat since before the last full one.
         self._heartbeat_bytes: collections.deque[int] = collections.deque(
             maxlen=HEARTBEATS_PER_FULL
@@ -158,6 +161,14 @@
         rate = sum(self._heartbeat_bytes) / period_s
         return max(0.0, CONTROL_BYTES_PER_S - rate)
 
+    def awaits_places(self, now: float) -> bool:
+        """Return whether places of flows are about to arrive.
+
+        Until then this VM may send packets of open flows to the wrong
+        upstream. VMs that are not ready have just started, too.
+        """
+        return now < self._places_due_at
+
     def announce_places(
         self, places: tuple[packets.FlowPlace, ...], now: float
     ) -> int:
@@ -277,6 +288,11 @@
         if self._place_requests[near] >= PLACE_REQUESTS:
             return
         self._place_requests[near] += 1
+        knows = heartbeat.ready and not digests.is_weak(
+            heartbeat.catalogue_digest
+        )
+        if knows and self._places_due_at == -math.inf:
+            self._places_due_at = now + PLACES_WAIT_S
         request = messages.SnapshotRequest(self.members.vm_id, messages.PLACES)
         self._send_message(request, host)
 
@@ -438,7 +454,7 @@
                 ],
             )
         places = self._places.list_decided()
-        if subject == messages.PLACES and places:
+        if subject == messages.PLACES and (places or self.ready):
             return self._snapshot_cache.list_parts(
                 request,
                 version=0,
@@ -466,6 +482,7 @@
             case messages.PLACES:
                 places = messages.decode_places(snapshot.body)
                 self._places.receive(places, now)
+                self._places_due_at = min(now, self._places_due_at)
 
     def _apply_configuration(
         self, received: snapshots.Snapshot, host: str, now: float
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/members.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/members.py
@@ -87,10 +87,17 @@
     def note_heartbeat(
         self, heartbeat: messages.Heartbeat, host: str, now: float
     ) -> bool:
-        """Record a heartbeat; return whether its sender has become live."""
+        """Record a heartbeat; return whether its sender has become live.
+
+        One that starts again so soon that it is not missed has, too.
+        """
         address = messages.MemberAddress(
             heartbeat.vm_id, host, heartbeat.incarnation
         )
+        known = self._members.get(heartbeat.vm_id)
+        restarted = known is not None and (
+            heartbeat.incarnation > known.address.incarnation
+        )
         self.learn(address, now)
         member = self._members.get(heartbeat.vm_id)
         if member is None:
@@ -103,7 +110,7 @@
         member.heartbeat = heartbeat
         member.last_heartbeat_at = now
         member.heard_at = now
-        return not was_live
+        return restarted or not was_live
 
     def note_heard(
         self, reports: typing.Iterable[messages.HeardMember], now: float
--- a/packages/savoryhaven/src/_savoryhaven/operation/node.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/node.py
@@ -354,6 +354,8 @@
     def _is_informed(self) -> bool:
         if not self.routes.version or not self.catalogue.revision:
             return False
+        if self.gossip.awaits_places(self.read_time()):
+            return False
         if self.evacuations is None or self.evacuations.known:
             return True
         return self.read_age(self._started_at) > UNCONFIRMED_MAX_S
--- a/packages/savoryhaven/tests/test_contested_flows.py
+++ b/packages/savoryhaven/tests/test_contested_flows.py
@@ -341,6 +341,55 @@
     assert not vm.resets
 
 
+# Guards against packets that queued while a VM started, and that it sends by
+# their tags before peers have told it where their flows are. A VM that is back
+# before peers miss it would wait for one of their heartbeats.
+def test_a_vm_that_starts_again_learns_places_before_it_reads() -> None:
+    vms = make_fleet(4)
+    owner, late = open_twice(vms[1])
+    vms[1].receive(make_packet(owner, owner))
+    network = vms[0].network
+    network.deliver()
+    for vm in vms:
+        vm.gossip.ready = True
+    started = tagged.Vm()
+    started.join(network, vms[0].host, incarnation=2)
+    learn(started)
+    now = network.clock.now
+    started.gossip.send_heartbeats((vms[1].host,), now)
+    assert not started.gossip.awaits_places(now)
+    deliver_first_answer(started)
+    assert started.gossip.awaits_places(now)
+    network.deliver()
+    assert not started.gossip.awaits_places(now)
+    started.receive(make_request(owner, late))
+    assert take_target(started) == (owner, owner)
+
+
+def deliver_first_answer(vm: tagged.Vm) -> None:
+    """Deliver datagrams until a VM has heard of a peer."""
+    while not vm.members.list_live(vm.clock.now):
+        vm.network.deliver_next()
+
+
+# Guards against a start that takes longer because peers have no places, or
+# because they have started as well.
+@params((True, True), (False, False))
+def test_a_start_does_not_wait_for_places_that_do_not_exist(
+    ready: bool, awaits: bool
+) -> None:
+    vms = make_fleet(2)
+    network = vms[0].network
+    vms[1].gossip.ready = ready
+    started = tagged.Vm()
+    started.join(network, vms[0].host, incarnation=2)
+    started.gossip.send_heartbeats((vms[1].host,), network.clock.now)
+    deliver_first_answer(started)
+    assert started.gossip.awaits_places(network.clock.now) == awaits
+    network.deliver()
+    assert not started.gossip.awaits_places(network.clock.now)
+
+
 # Guards against a VM of a large fleet that asks only its seeds, which are in
 # other failure domains, for the places of flows.
 def test_a_vm_that_starts_asks_peers_of_its_own_domain() -> None:
