Announce copies of openings only when their flows stay away

Three announcements a contested flow used up what heartbeats leave, so that copies stayed at upstreams that could not be reached; that is the likely cause, no count of them was taken.

--- a/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
@@ -115,7 +115,7 @@
     def expire(self, now: float) -> None:
         """Remove expired openings and flows."""
         self.openings.expire(now)
-        self._places.repeat(now)
+        self._places.announce_waiting(now)
         self._places.expire(now)
         current = self._routes.current
         if current is not None:
--- a/packages/savoryhaven/src/_savoryhaven/datapath/new_flows.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/new_flows.py
@@ -358,7 +358,9 @@
         ):
             self._cold_start.slow_start.note_opening(state, now)
         if self._is_contested(packet, opening):
-            self._parts.places.note_copy(packet, state.upstream.tag, now)
+            self._parts.places.note_copy(
+                packet, state.upstream.tag, now, at_once=opening is None
+            )
         if opening is None:
             self._flows.remove(packet.key, now)
             self.openings.start(
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/flow_places.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/flow_places.py
@@ -18,11 +18,11 @@
 PLACE_LIFETIME_S = 65.0
 # Flows that are remembered: at 500 B each they use 2 of a VM's 25 MB.
 PLACE_LIMIT = 4_000
-# What announcements may use at once of what heartbeats leave of a VM's control
-# traffic. Beyond it, copies of openings go to the upstream that they went to
-# before. The places of flows that opened meanwhile may use as much again.
+# What announcements may use at once of their share of a VM's control traffic.
+# Beyond it, copies of openings go to the upstream that they went to before.
+# The places of flows that opened meanwhile may use as much again.
 ANNOUNCED_BURST_BYTES = 4_000.0
-# Places in a datagram, at 45 bytes at most.
+# Places in a datagram, at 32 bytes each.
 ANNOUNCED_MAX_PLACES = 24
 
 _Count = counters_module.Count
@@ -68,8 +68,9 @@
         self.on_news = _ignore_news
         # The entry that was made first comes first.
         self._entries: dict[packets.FlowKey, _Entry] = {}
-        # Places of open flows that were announced once.
-        self._unrepeated: list[packets.FlowPlace] = []
+        # What the next regular announcement has: places of flows that were
+        # announced once, and copies whose flows this VM has not seen open.
+        self._waiting: list[packets.FlowPlace] = []
         self._credit_bytes = ANNOUNCED_BURST_BYTES
         self._credited_at = 0.0
 
@@ -123,12 +124,23 @@
         return entry.place.tag
 
     def note_copy(
-        self, opening: packets.FlowPacket, tag: int, now: float
+        self,
+        opening: packets.FlowPacket,
+        tag: int,
+        now: float,
+        *,
+        at_once: bool,
     ) -> None:
-        """Announce that an opening goes to one of several upstreams."""
+        """Record that an opening goes to one of several upstreams.
+
+        Peers are told ``at_once`` if one of them may have the open flow, else
+        only if no packet of the flow comes here soon.
+        """
         place = packets.FlowPlace(*opening.key, opening.sequence, tag)
         self._merge(place, now)
-        if self.may_contest(now):
+        if not at_once:
+            self._waiting.append(place)
+        elif self.may_contest(now):
             self._send((place,), now)
 
     def decide(self, place: packets.FlowPlace, now: float) -> bool:
@@ -137,15 +149,22 @@
             return False
         if self._update_credit(now) > -ANNOUNCED_BURST_BYTES:
             self._send((place,), now)
-            self._unrepeated.append(place)
+            self._waiting.append(place)
         return True
 
-    def repeat(self, now: float) -> None:
-        """Announce places again, as datagrams are lost now and then."""
-        places = tuple(self._unrepeated[:ANNOUNCED_MAX_PLACES])
-        self._unrepeated.clear()
-        if places and self.may_contest(now):
-            self._send(places, now)
+    def announce_waiting(self, now: float) -> None:
+        """Announce what waits, and places again, as datagrams may be lost."""
+        waiting = [place for place in self._waiting if self._is_due(place)]
+        self._waiting.clear()
+        if waiting and self.may_contest(now):
+            self._send(tuple(waiting[:ANNOUNCED_MAX_PLACES]), now)
+
+    def _is_due(self, place: packets.FlowPlace) -> bool:
+        """Return whether a place still says what is known of its flow."""
+        if place.acknowledged != packets.NOT_OPEN:
+            return True
+        entry = self._find(place.key, place.sequence)
+        return entry is not None and entry.place is None
 
     def receive(
         self, places: typing.Iterable[packets.FlowPlace], now: float
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
@@ -156,7 +156,7 @@
         self._send_to_all(notice, self._choose_hosts(now))
 
     def get_spare_rate(self) -> float:
-        """Return how many bytes per second heartbeats leave for the rest."""
+        """Return how many bytes per second announcements may use."""
         period_s = HEARTBEATS_PER_FULL * members_module.HEARTBEAT_INTERVAL_S
         rate = sum(self._heartbeat_bytes) / period_s
         return max(0.0, CONTROL_BYTES_PER_S - rate)
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/members.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/members.py
@@ -28,6 +28,8 @@
 RANK_TIMEOUT_S = 2.0
 # VMs of the lowest ranks that each heartbeat reports, at 9 to 13 bytes each.
 MAX_HEARD_MEMBERS = 5
+# The same for heartbeats without the classes of links.
+MAX_BRIEF_HEARD_MEMBERS = 3
 # Ranks go by the class of a VM's link first: a class is a factor of two, the
 # fastest is 1, and ``LINK_CLASSES`` stands for an unknown rate.
 LINK_CLASSES = 32
@@ -143,6 +145,7 @@
         keeps the class that it knows.
         """
         mask = -1 if classes else _HASH_MASK
+        most = MAX_HEARD_MEMBERS if classes else MAX_BRIEF_HEARD_MEMBERS
         reports = []
         for member in self._sorted:
             age_s = now - member.heard_at
@@ -152,7 +155,7 @@
                         member.order[0] & mask, max(0, round(age_s * 1000))
                     )
                 )
-                if len(reports) == MAX_HEARD_MEMBERS:
+                if len(reports) == most:
                     break
         return tuple(reports)
 
