Request places of flows a few parts at a time

By reading: a VM that starts asked for all parts at once, which a link of 5 Mbit/s would not queue if there are many. Answers without places are a function of their own. A test starts a VM beside one with 2,000 places.

--- a/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
@@ -293,8 +293,9 @@
         )
         if knows and self._places_due_at == -math.inf:
             self._places_due_at = now + PLACES_WAIT_S
-        request = messages.SnapshotRequest(self.members.vm_id, messages.PLACES)
-        self._send_message(request, host)
+        self._send_message(
+            self._assembler.make_request(messages.PLACES, 0, host), host
+        )
 
     def _compare_configuration(
         self, heartbeat: messages.Heartbeat, host: str, now: float
@@ -453,17 +454,28 @@
                     _encode_sorted(removed),
                 ],
             )
-        places = self._places.list_decided()
-        if subject == messages.PLACES and (places or self.ready):
-            return self._snapshot_cache.list_parts(
-                request,
-                version=0,
-                age_ms=-1,
-                state=places,
-                build=lambda: messages.encode_places(places),
-            )
+        if subject == messages.PLACES:
+            return self._list_place_parts(request)
         return []
 
+    def _list_place_parts(
+        self, request: messages.SnapshotRequest
+    ) -> list[messages.SnapshotPart]:
+        """Return the places of flows, also if there are none.
+
+        A VM that has just started does not know whether there are any.
+        """
+        places = self._places.list_decided()
+        if not places and not self.ready:
+            return []
+        return self._snapshot_cache.list_parts(
+            request,
+            version=0,
+            age_ms=-1,
+            state=places,
+            build=lambda: messages.encode_places(places),
+        )
+
     def _handle_part(
         self, part: messages.SnapshotPart, host: str, now: float
     ) -> None:
--- a/packages/savoryhaven/tests/test_contested_flows.py
+++ b/packages/savoryhaven/tests/test_contested_flows.py
@@ -5,12 +5,14 @@
 """
 
 import json
+import random
 import typing
 
 from nose2.tools import params
 
 from _savoryhaven.knowledge import flow_places
 from _savoryhaven.knowledge import messages
+from _savoryhaven.knowledge import snapshots
 from _savoryhaven.model import packets
 from _savoryhaven.telemetry import counters
 from savoryhaven_standins import tagged
@@ -391,6 +393,23 @@
     assert not started.gossip.awaits_places(network.clock.now)
 
 
+# Guards against places that exceed what a link queues, and are lost.
+def test_many_places_are_requested_a_few_parts_at_a_time() -> None:
+    vms = make_fleet(2)
+    draw = random.Random(39)
+    places = [
+        packets.FlowPlace(
+            *(draw.getrandbits(bits) for bits in (32, 16, 32, 16, 32, 32, 32))
+        )
+        for _ in range(2_000)
+    ]
+    vms[1].places.receive(places, vms[1].clock.now)
+    started = start_again(vms[0])
+    assert set(started.places.list_decided()) == set(places)
+    sent = vms[1].counters[Count.SNAPSHOT_PARTS_SENT]
+    assert sent > snapshots.FIRST_WINDOW
+
+
 # Guards against a VM of a large fleet that asks only its seeds, which are in
 # other failure domains, for the places of flows.
 def test_a_vm_that_starts_asks_peers_of_its_own_domain() -> None:
