--- a/packages/savoryhaven-ctl/tests/test_explanations.py
+++ b/packages/savoryhaven-ctl/tests/test_explanations.py
@@ -229,3 +229,19 @@
     )
     assert unreadable.returncode == 1
     assert 'SH508' in unreadable.stderr
+
+
+# Guards against a flow whose upstream is not the one that its opening was sent
+# to last, which its log would not explain.
+def test_a_flow_that_two_upstreams_may_have_answered_is_explained() -> None:
+    texts = list_texts(
+        explain(
+            make_line('flow_opened', 0.0, flow=FLOW, upstream='i-1'),
+            make_line('opening_moved', 0.2, flow=FLOW, upstream='i-2'),
+            make_line('flow_placed', 0.21, flow=FLOW, upstream='i-1'),
+            make_line('opening_ignored', 0.22, flow=FLOW, reason='it is open'),
+            make_request(0.3),
+        )
+    )
+    assert any('the flow is at i-1' in text for text in texts)
+    assert any('was dropped: it is open' in text for text in texts)
