--- a/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
@@ -177,9 +177,7 @@
         Return how many bytes were sent.
         """
         hosts = self._list_place_hosts(now)
-        return self._send_to_all(
-            messages.CatalogueNotice(places=places), hosts
-        )
+        return self._send_to_all(messages.make_place_notice(places), hosts)
 
     def _list_place_hosts(self, now: float) -> list[str]:
         live = self.members.list_live(now)
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/messages.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/messages.py
@@ -128,13 +128,20 @@
     changes has the revision zero, which older builds ignore.
     """
 
-    since: int = 0
-    revision: int = 0
-    present: tuple[records.Upstream, ...] = ()
-    removed: tuple[str, ...] = ()
+    since: int
+    revision: int
+    present: tuple[records.Upstream, ...]
+    removed: tuple[str, ...]
     places: tuple[packets.FlowPlace, ...] = ()
 
 
+def make_place_notice(
+    places: tuple[packets.FlowPlace, ...],
+) -> CatalogueNotice:
+    """Return a notice without changes of upstreams."""
+    return CatalogueNotice(0, 0, (), (), places)
+
+
 Message = Heartbeat | SnapshotRequest | SnapshotPart | CatalogueNotice
 
 CONFIGURATION = 'configuration'
--- a/packages/savoryhaven/tests/test_contested_flows.py
+++ b/packages/savoryhaven/tests/test_contested_flows.py
@@ -287,7 +287,7 @@
 # changes of upstreams.
 def test_notices_of_places_have_no_changes_for_older_builds() -> None:
     place = packets.FlowPlace(1, 2, 3, 4, 5, 6, 7)
-    raw = messages.encode_message(messages.CatalogueNotice(places=(place,)))
+    raw = messages.encode_message(messages.make_place_notice((place,)))
     notice = messages.decode_message(raw)
     assert notice.places == (place,)
     assert (notice.since, notice.revision) == (0, 0)
--- a/packages/savoryhaven/tests/test_digests.py
+++ b/packages/savoryhaven/tests/test_digests.py
@@ -5,12 +5,15 @@
 
 import attrs
 import cbor2
+from nose2.tools import params
 
 from _savoryhaven.knowledge import messages
 from _savoryhaven.model import digests
 from _savoryhaven.model import records
+from _savoryhaven.telemetry import counters
 from savoryhaven_standins import tagged
 
+Count = counters.Count
 SEEDS = ('10.0.0.1',)
 # Upstreams that registered in a row and drain in a row; checksums of one
 # upstream each that are joined by XOR are the same before and after.
@@ -227,3 +230,19 @@
         if isinstance(sent, messages.SnapshotRequest)
     ]
     assert messages.CATALOGUE in asked
+
+
+# Guards against a notice of which a part can't be read, and whose revision is
+# taken over without the changes in it.
+@params(3, 4)
+def test_a_notice_that_is_read_in_part_changes_nothing(index: int) -> None:
+    network = make_fleet(1)
+    (vm,) = network.vms.values()
+    notice = messages.CatalogueNotice(
+        2_000, 3_000, tuple(make_rows(draining=True)), ('u-00000009',)
+    )
+    fields = cbor2.loads(messages.encode_message(notice))
+    for damaged in (fields[:index], [*fields[:index], 'x', *fields[5:]]):
+        vm.gossip.receive(cbor2.dumps(damaged), '10.0.0.9', vm.clock.now)
+    assert vm.catalogue.revision == 2_000
+    assert vm.counters[Count.PEER_MALFORMED] == 2
