--- a/packages/savoryhaven/src/_savoryhaven/knowledge/flow_places.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/flow_places.py
@@ -21,7 +21,7 @@
 # What announcements may use at once of their share of a VM's control traffic.
 # Beyond it, copies of openings go to the upstream that they went to before.
 # The places of flows that opened meanwhile may use as much again.
-ANNOUNCED_BURST_BYTES = 4_000.0
+ANNOUNCED_BURST_BYTES = 16_000.0
 # Places in a datagram, at 32 bytes each.
 ANNOUNCED_MAX_PLACES = 24
 
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
@@ -37,8 +37,10 @@
 # 4 KB/s.
 HEARTBEATS_PER_FULL = 4
 SMALL_FLEET_VMS = 8
-# What a VM may send to peers in the long run, snapshots left out.
+# What a VM may send to peers in the long run, snapshots left out, and the
+# least share of announcements in it.
 CONTROL_BYTES_PER_S = 4_096.0
+ANNOUNCED_MIN_BYTES_PER_S = 200.0
 # Peers that get a change immediately; each passes it on.
 CHANGE_FANOUT = 6
 # Peers that get the places of flows. The fabric sends a flow's packets to VMs
@@ -159,7 +161,7 @@
         """Return how many bytes per second announcements may use."""
         period_s = HEARTBEATS_PER_FULL * members_module.HEARTBEAT_INTERVAL_S
         rate = sum(self._heartbeat_bytes) / period_s
-        return max(0.0, CONTROL_BYTES_PER_S - rate)
+        return max(ANNOUNCED_MIN_BYTES_PER_S, CONTROL_BYTES_PER_S - rate)
 
     def awaits_places(self, now: float) -> bool:
         """Return whether places of flows are about to arrive.
