--- a/review/standins2/site.py
+++ b/review/standins2/site.py
@@ -18,6 +18,7 @@
 
 from standins2 import clients
 from standins2 import hosts
+from standins2 import links
 from standins2 import store as store_module
 from standins2 import wire
 
@@ -39,6 +40,7 @@
         self._vms = {}
         self._rotation = {}
         self._by_number = {}
+        self._client_zones = {}
         self._clients = []
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
@@ -46,6 +48,9 @@
         self.store = store_module.Store(self.log)
         self.hosts = []
         self.vm_hosts = {}
+        self.links = links.Links()
+        self._zones = {}
+        self._peer_ports = {}
         # By flow: the packets sent to each VM, runs, open flows.
         self.openings = {}
         self.arrivals = []
@@ -100,12 +105,12 @@
 
     # Hosts and clients.
 
-    async def add_host(self, service, zone, *, work_s=0.02):
+    async def add_host(self, service, zone, *, work_s=0.02, ident=None):
         """Start a host."""
         count = len(self.hosts) + 1
         host = hosts.Host(
             self,
-            f'i-{0x5A17C300 + count * 0x101:08x}',
+            f'i-{ident or 0x225A17C300 + count * 0x101:010x}',
             service,
             zone,
             (f'{self._net}.2.{count}', 8_080),
@@ -116,12 +121,13 @@
         await host.start()
         return host
 
-    def add_client(self):
-        """Return a new client."""
+    def add_client(self, zone='z-a'):
+        """Return a new client of a zone."""
         host = f'{self._net}.3.{len(self._clients) + 1}'
         client = clients.Client(self, host, self._ports[0])
         self._clients.append(client)
         self._by_number[client.number] = client.address
+        self._client_zones[client.number] = zone
         return client
 
     def find_client(self, number):
@@ -130,14 +136,23 @@
 
     # VMs.
 
-    async def start_vms(self, names, *, zone='z-a', per_zone=None):
-        """Start VMs, at addresses in the order of their names."""
+    async def start_vms(self, names, *, zones=None, relayed=False):
+        """Start VMs, at addresses in the order of their names.
+
+        ``zones`` are their zones by name, and ``relayed`` is whether what
+        they send to each other passes through ``links``.
+        """
         for count, name in enumerate(names, 1):
             self.vm_hosts[name] = f'{self._net}.1.{count}'
+            self._zones[name] = (zones or {}).get(name, 'z-a')
             self._rotation[name] = 2
             await self.store.open(f'{self._net}.4.{count}', self._ports[3])
+        ports = _find_ports(len(names)) if relayed else self._ports[2:3] * len(names)
+        self._peer_ports = dict(zip(names, ports, strict=True))
+        if relayed:
+            self.links.open(list(self.vm_hosts.values()), ports)
         for name in names:
-            self.start_vm(name, zone)
+            self.start_vm(name)
         self._probing = asyncio.create_task(self._probe_all())
         async with asyncio.timeout(20):
             while any(misses for misses in self._rotation.values()):
@@ -147,10 +162,10 @@
         """Return the host at which a VM calls the store."""
         return self.vm_hosts[name].replace(f'{self._net}.1.', f'{self._net}.4.')
 
-    def start_vm(self, name, zone='z-a'):
+    def start_vm(self, name):
         """Start the process of a VM with the deploy file's command."""
         path = pathlib.Path(self._folder.name) / f'{name}.json'
-        path.write_text(json.dumps(self._make_settings(name, zone)))
+        path.write_text(json.dumps(self._make_settings(name)))
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
         command = deploy['roles']['entry']['run'].split()
         command[command.index('--settings') + 1] = str(path)
@@ -170,14 +185,14 @@
         output.close()
         self.log('vm_started', vm=name, pid=self._vms[name].pid)
 
-    def _make_settings(self, name, zone):
+    def _make_settings(self, name):
         """Return what the deploy file's template makes of the platform's."""
         host = self.vm_hosts[name]
-        data, ready, peers, store = self._ports
+        data, ready, _, store = self._ports
         seeds = list(self.vm_hosts.values())[:3]
         return {
             'vm_id': name,
-            'failure_domain': zone,
+            'failure_domain': self._zones[name],
             'flow_place': 'tag',
             'data_address': f'{host}:{data}',
             'operator_address': f'{host}:9464',
@@ -186,7 +201,7 @@
                 'path': '/v1/readiness',
             },
             'peers': {
-                'port': peers,
+                'port': self._peer_ports[name],
                 'seeds': [f'{seed}:1' for seed in seeds],
             },
             'store': {'address': f'{self.find_store_address(name)}:{store}'},
@@ -248,11 +263,23 @@
             if ready != (before < 2) and before != 1:
                 self.log('rotation', vm=name, ready=ready)
 
+    def list_ready(self):
+        """Return the VMs in rotation."""
+        return [name for name, misses in self._rotation.items() if misses < 2]
+
     def choose_vm(self, raw):
         """Return the VM to which the routers send a packet, by ``mod``."""
-        ready = [name for name, misses in self._rotation.items() if misses < 2]
-        if 2 * len(ready) < len(self._rotation):
-            ready = list(self._rotation)
+        source = wire.decode(raw)[0].source[0]
+        zone = self._client_zones[source]
+        nodes = [name for name in self._rotation if self._zones[name] == zone]
+        in_rotation = self.list_ready()
+        ready = [name for name in nodes if name in in_rotation]
+        if not ready:
+            # The nearest zones; all others are equally near here.
+            ready = [name for name in in_rotation if name not in nodes]
+        elif 2 * len(ready) < len(nodes):
+            ready = nodes
+        ready = ready or list(self._rotation)
         return ready[zlib.crc32(raw[19:31]) % len(ready)]
 
     def route(self, raw):
@@ -339,6 +366,7 @@
             host.stop()
         for client in self._clients:
             client.close()
+        self.links.close()
         self.store.close()
         self._socket.close()
         self._folder.cleanup()
