--- a/review/6/case.py
+++ b/review/6/case.py
@@ -56,11 +56,7 @@
 async def open_flow(site, client, number, outcomes, lossy):
     flow = client.make_flow(ROUTE)
     through = site.choose_vm(wire.Packet(wire.SYN, *flow.key).encode())
-    if (
-        through in BATCH
-        and through not in lossy
-        and len(lossy) < LOST_FLOWS
-    ):
+    if through in BATCH and through not in lossy and len(lossy) < LOST_FLOWS:
         lossy.append(through)
         loses = lose_first(site, flow)
         for host in site.hosts:
--- a/review/standins2/site.py
+++ b/review/standins2/site.py
@@ -147,7 +147,11 @@
             self._zones[name] = (zones or {}).get(name, 'z-a')
             self._rotation[name] = 2
             await self.store.open(f'{self._net}.4.{count}', self._ports[3])
-        ports = _find_ports(len(names)) if relayed else self._ports[2:3] * len(names)
+        ports = (
+            _find_ports(len(names))
+            if relayed
+            else self._ports[2:3] * len(names)
+        )
         self._peer_ports = dict(zip(names, ports, strict=True))
         if relayed:
             self.links.open(list(self.vm_hosts.values()), ports)
@@ -160,7 +164,9 @@
 
     def find_store_address(self, name):
         """Return the host at which a VM calls the store."""
-        return self.vm_hosts[name].replace(f'{self._net}.1.', f'{self._net}.4.')
+        return self.vm_hosts[name].replace(
+            f'{self._net}.1.', f'{self._net}.4.'
+        )
 
     def start_vm(self, name):
         """Start the process of a VM with the deploy file's command."""
--- a/review/standins2/wire.py
+++ b/review/standins2/wire.py
@@ -14,7 +14,9 @@
 class Packet:
     """One packet; ends are pairs of an address as a number and a port."""
 
-    def __init__(self, flags, source, target, *, seq=0, ack=0, echo=0, data=b''):
+    def __init__(
+        self, flags, source, target, *, seq=0, ack=0, echo=0, data=b''
+    ):
         self.flags = flags
         self.source = source
         self.target = target
