A starting VM asks for places of flows until a peer that knows them answers

Cause: a VM that starts asked the first three peers of its domain and never again. VMs that start together hear of each other first; no answer, the empty answer of a VM that has just started, and a lost answer counted like knowledge.

Change: an answer says whether its sender knows the places; a VM asks ready peers until one that does has answered, or 2.5 s have passed without one.

--- a/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
@@ -47,11 +47,17 @@
 # of one domain, and to the nearest others if that has none; a domain with
 # fewer other VMs than this announces to the VMs of all domains.
 PLACE_PEERS_MIN = 4
-# Peers that a VM asks for the places of flows when it has started, of its own
-# domain and of others.
+# Peers that a VM which has started asks for the places of flows at a time: of
+# its own domain and of others, ready ones and others.
 PLACE_REQUESTS = 3
-# Longest wait for the first answer: some round trips between failure domains.
+# Longest wait for an answer: some round trips between failure domains.
 PLACES_WAIT_S = 0.05
+# Interval between requests until a peer that knows the places has answered.
+PLACES_RETRY_S = 0.1
+# A VM that has found no such peer within this time after its start takes it
+# that there is none. If a tenth of a fleet goes on while the others start, one
+# in a hundred of these hears of none in that time.
+PLACES_UNKNOWN_MAX_S = 2.5
 # Unreadable fields of peers whose log line is not repeated; bounds the memory
 # that datagrams from many addresses can take.
 MAX_LOGGED_FIELDS = 1_000
@@ -106,8 +112,16 @@
         )
         self._logged_fields: set[tuple[str, str]] = set()
         self._round = 0
-        # By whether the peer is in the same failure domain.
-        self._place_requests: collections.Counter[bool] = collections.Counter()
+        self._started_at = math.inf
+        # Whether this VM knows the places of flows that its peers know.
+        self._places_known = False
+        # The hosts that were asked for places and have not answered, by
+        # whether they are in the same failure domain and ready.
+        self._places_asked: dict[str, tuple[bool, bool]] = {}
+        # The hosts that did not know the places either.
+        self._places_unknown_hosts: set[str] = set()
+        self._places_requested_at = -math.inf
+        self._places_retried = False
         self._places_due_at = -math.inf
         # Bytes of each heartbeat since before the last full one.
         self._heartbeat_bytes: collections.deque[int] = collections.deque(
@@ -117,6 +131,9 @@
 
     def send_heartbeats(self, seeds: typing.Sequence[str], now: float) -> None:
         """Send a heartbeat to a few peers, and to seeds if peers are few."""
+        self._started_at = min(now, self._started_at)
+        if not self._places_known:
+            self._retry_places(now)
         hosts = self.members.list_hosts(now)
         unknown = [host for host in seeds if host not in hosts]
         chosen = hosts
@@ -251,6 +268,8 @@
         self, heartbeat: messages.Heartbeat, host: str, now: float
     ) -> None:
         self._older_peers.note_heartbeat(heartbeat, host)
+        if not self._places_known:
+            self._learn_places(heartbeat, host, now)
         if self.members.note_heartbeat(heartbeat, host, now):
             self._events.emit(
                 'peer_joined',
@@ -259,7 +278,6 @@
                 configuration=heartbeat.configuration_version,
                 catalogue_revision=heartbeat.catalogue_revision,
             )
-            self._request_places(heartbeat, host, now)
             if not heartbeat.answer:
                 answer = self._build_heartbeat(now, members=True, answer=True)
                 self._send_heartbeat(answer, (host,))
@@ -276,27 +294,92 @@
         self._compare_catalogue(heartbeat, host, now)
         self._compare_evacuations(heartbeat, host, now)
 
-    def _request_places(
+    def _learn_places(
         self, heartbeat: messages.Heartbeat, host: str, now: float
     ) -> None:
         """Request what a peer knows of flows, soon after the start.
 
         The fabric sends packets of flows that are open already to a VM that
-        starts.
+        starts. Peers that have just started do not know these flows either:
+        their answers are not sufficient, and those that are not ready may
+        not answer.
         """
         near = heartbeat.failure_domain == self._failure_domain
-        if self._place_requests[near] >= PLACE_REQUESTS:
+        kind = near, heartbeat.ready
+        if self._places_asked.get(host) == kind:
             return
-        self._place_requests[near] += 1
+        if host in self._places_unknown_hosts:
+            return
+        if list(self._places_asked.values()).count(kind) >= PLACE_REQUESTS:
+            return
+        self._places_asked[host] = kind
         knows = heartbeat.ready and not digests.is_weak(
             heartbeat.catalogue_digest
         )
         if knows and self._places_due_at == -math.inf:
             self._places_due_at = now + PLACES_WAIT_S
+        self._request_places(host, now)
+
+    def _retry_places(self, now: float) -> None:
+        """Request places again if no peer that knows them has answered.
+
+        All peers may have started at the same time, so that none knows them.
+        """
+        if now - self._started_at > PLACES_UNKNOWN_MAX_S:
+            self._note_places_known(source='')
+            return
+        if now - self._places_requested_at < PLACES_RETRY_S:
+            return
+        ready = [
+            member.address.host
+            for member in self.members.list_live(now)
+            if member.heartbeat.ready
+        ]
+        if not ready:
+            return
+        if self._awaits_answer() and not self._places_retried:
+            self._places_retried = True
+            # Not again, as packets wait in the socket meanwhile.
+            self._places_due_at = now + PLACES_WAIT_S
+        self._request_places(self._random.choice(ready), now)
+
+    def _request_places(self, host: str, now: float) -> None:
+        self._places_requested_at = now
         self._send_message(
             self._assembler.make_request(messages.PLACES, 0, host), host
         )
 
+    def _receive_places(
+        self, received: snapshots.Snapshot, host: str, now: float
+    ) -> None:
+        self._places.receive(messages.decode_places(received.body), now)
+        self._places_asked.pop(host, None)
+        if received.version == messages.PLACES_UNKNOWN:
+            self._places_unknown_hosts.add(host)
+        else:
+            self._assembler.forget(messages.PLACES)
+            self._note_places_known(source=host)
+        if self._places_known or not self._awaits_answer():
+            self._places_due_at = min(now, self._places_due_at)
+
+    def _awaits_answer(self) -> bool:
+        """Return whether a ready peer was asked for places in vain so far."""
+        return any(ready for _, ready in self._places_asked.values())
+
+    def _note_places_known(self, *, source: str) -> None:
+        """Record that this VM knows the places of flows that peers know.
+
+        ``source`` is the host that sent them, empty if no peer knows any.
+        """
+        if self._places_known:
+            return
+        self._places_known = True
+        self._places_asked.clear()
+        self._places_unknown_hosts.clear()
+        self._events.emit(
+            'places_known', source=source, places=len(self._places)
+        )
+
     def _compare_configuration(
         self, heartbeat: messages.Heartbeat, host: str, now: float
     ) -> None:
@@ -466,11 +549,15 @@
         A VM that has just started does not know whether there are any.
         """
         places = self._places.list_decided()
-        if not places and not self.ready:
+        if not (places or self.ready or self._places_known):
             return []
         return self._snapshot_cache.list_parts(
             request,
-            version=0,
+            version=(
+                messages.PLACES_KNOWN
+                if self._places_known
+                else messages.PLACES_UNKNOWN
+            ),
             age_ms=-1,
             state=places,
             build=lambda: messages.encode_places(places),
@@ -492,9 +579,7 @@
             case messages.CATALOGUE:
                 self._apply_catalogue(snapshot, host, now)
             case messages.PLACES:
-                places = messages.decode_places(snapshot.body)
-                self._places.receive(places, now)
-                self._places_due_at = min(now, self._places_due_at)
+                self._receive_places(snapshot, host, now)
 
     def _apply_configuration(
         self, received: snapshots.Snapshot, host: str, now: float
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/messages.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/messages.py
@@ -148,6 +148,11 @@
 CATALOGUE = 'catalogue'
 PLACES = 'places'
 
+# Versions of snapshots of places: whether the sender knows them, or has just
+# started and does not. Older builds send zero.
+PLACES_UNKNOWN = 1
+PLACES_KNOWN = 2
+
 _KINDS: dict[int, type] = {
     1: Heartbeat,
     2: SnapshotRequest,
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/snapshots.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/snapshots.py
@@ -316,7 +316,9 @@
             return None
         assembly.parts[part.index] = part.data
         if len(assembly.parts) == part.count:
-            self._forget(part.subject)
+            if part.subject != messages.PLACES:
+                # Places of several peers add to each other.
+                self.forget(part.subject)
             body = _join([assembly.parts[n] for n in range(part.count)])
             return Snapshot(part.subject, part.version, part.age_ms, body)
         self._arrived_at[part.subject] = now
@@ -325,7 +327,7 @@
             del self._assemblies[next(iter(self._assemblies))]
         return None
 
-    def _forget(self, subject: str) -> None:
+    def forget(self, subject: str) -> None:
         """Delete what is left of transfers once one is complete."""
         self._arrived_at.pop(subject, None)
         self._pending.pop(subject, None)
--- a/packages/savoryhaven/tests/test_contested_flows.py
+++ b/packages/savoryhaven/tests/test_contested_flows.py
@@ -20,6 +20,8 @@
 Count = counters.Count
 SEEDS = ('10.0.0.1',)
 UPSTREAMS = range(1, 8)
+# What VMs know has to be right this long after a start or a cut.
+IN_TOUCH_S = 4.0
 # Sequence numbers of the client's opening, and of the upstreams' answers.
 OPENING = 4_000_000_000
 ANSWERS = {number: 600_000_000 * number for number in UPSTREAMS}
@@ -393,6 +395,81 @@
     assert not started.gossip.awaits_places(network.clock.now)
 
 
+def start_together(vms: list[tagged.Vm]) -> list[tagged.Vm]:
+    """Start VMs again that hear of each other before they hear of others."""
+    network = vms[0].network
+    started = []
+    for vm in vms:
+        again = tagged.Vm()
+        again.join(network, vm.host, incarnation=2)
+        learn(again)
+        started.append(again)
+    hosts = [vm.host for vm in started]
+    for vm in started:
+        others = [host for host in hosts if host != vm.host]
+        vm.gossip.send_heartbeats(others, network.clock.now)
+    network.deliver()
+    return started
+
+
+# Guards against VMs that start together, learn nothing from each other, and
+# ask nobody else.
+@params((5, 3, False), (12, 6, False), (12, 11, False), (23, 10, True))
+def test_vms_that_start_together_learn_places_from_others(
+    count: int, starting: int, ready: bool
+) -> None:
+    vms = make_fleet(count)
+    network = vms[0].network
+    for vm in vms:
+        vm.gossip.ready = True
+    network.pass_time(3.0, seeds=SEEDS)
+    owner, late = open_twice(vms[-1])
+    vms[-1].receive(make_packet(owner, owner))
+    network.deliver()
+    started = start_together(vms[:starting])
+    for vm in started:
+        vm.gossip.ready = ready
+    network.pass_time(IN_TOUCH_S, seeds=SEEDS)
+    for vm in started:
+        vm.receive(make_request(owner, late))
+        assert take_target(vm) == (owner, owner)
+
+
+# Guards against a VM that stops asking because an answer was lost.
+def test_places_are_requested_again_if_answers_are_lost() -> None:
+    vms = make_fleet(2)
+    network = vms[0].network
+    for vm in vms:
+        vm.gossip.ready = True
+    network.pass_time(3.0, seeds=SEEDS)
+    owner, late = open_twice(vms[1])
+    vms[1].receive(make_packet(owner, owner))
+    network.deliver()
+    (started,) = start_together(vms[:1])
+    network.cut.add(vms[1].host)
+    vms[1].gossip.send_heartbeats((started.host,), network.clock.now)
+    network.cut.clear()
+    deliver_first_answer(started)
+    network.take_datagrams()
+    assert started.gossip.awaits_places(network.clock.now)
+    network.pass_time(0.5, seeds=SEEDS)
+    started.receive(make_request(owner, late))
+    assert take_target(started) == (owner, owner)
+
+
+# Guards against packets that wait, after all VMs have started together, for
+# places that nobody knows.
+def test_vms_that_all_start_together_wait_for_no_places() -> None:
+    started = start_together(make_fleet(6))
+    network = started[0].network
+    for vm in started:
+        vm.gossip.ready = True
+    for _ in range(8):
+        network.pass_time(0.25, seeds=SEEDS)
+        for vm in started:
+            assert not vm.gossip.awaits_places(network.clock.now)
+
+
 # Guards against places that exceed what a link queues, and are lost.
 def test_many_places_are_requested_a_few_parts_at_a_time() -> None:
     vms = make_fleet(2)
