Send openings again to upstreams whose answers carry a wrong tag

Cause: an upstream that answered a copy of an opening, while the flow opened elsewhere, repeats its answer for 9.4 s, and each answer gives the client its tag. Only the memory of VMs made that good.

Change: once a VM knows where the flow is, it sends the opening again to the other upstreams that it had sent it to, with the right tag. They answer with the last tag that they got, so that all later packets of the client carry the right one, and any VM can place them.

--- a/packages/savoryhaven-ctl/src/_savoryhaven_ctl/explanations.py
+++ b/packages/savoryhaven-ctl/src/_savoryhaven_ctl/explanations.py
@@ -30,6 +30,7 @@
         'opening_ignored',
         'opening_moved',
         'opening_refused',
+        'opening_retagged',
         'opening_dropped',
         'request_forwarded',
         'answer_short',
@@ -260,6 +261,12 @@
                 'more than one upstream may have answered the opening; the '
                 f'flow is at {event.get("upstream")}'
             )
+        case 'opening_retagged':
+            return (
+                f'upstream {event.get("upstream")} may have answered the '
+                'opening, too; it was told that the flow is at '
+                f'{event.get("owner")}'
+            )
         case 'answer_short':
             return (
                 f'upstream {event.get("upstream")} answered with '
--- a/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
@@ -9,7 +9,9 @@
 import typing
 
 from _savoryhaven.datapath import flows as flows_module
+from _savoryhaven.datapath import half_open as half_open_module
 from _savoryhaven.datapath import new_flows
+from _savoryhaven.datapath import openings as openings_module
 from _savoryhaven.datapath import parts as parts_module
 from _savoryhaven.knowledge import catalogue as catalogue_module
 from _savoryhaven.knowledge import evacuations as evacuations_module
@@ -71,16 +73,17 @@
         self.flows: typing.Final = flows_module.FlowTable(FLOW_LIMIT)
         self._service_times: dict[records.Destination, admission.ServiceTime]
         self._service_times = {}
+        parts = parts_module.Parts(
+            codec=codec,
+            routes=routes,
+            catalogue=catalogue,
+            places=places,
+            outputs=outputs,
+            counters=counters,
+            events=events,
+        )
         self._new_flows: typing.Final = new_flows.NewFlows(
-            parts_module.Parts(
-                codec=codec,
-                routes=routes,
-                catalogue=catalogue,
-                places=places,
-                outputs=outputs,
-                counters=counters,
-                events=events,
-            ),
+            parts,
             flows=self.flows,
             service_times=self._service_times,
             failure_domain=failure_domain,
@@ -89,6 +92,9 @@
             cold_start=cold_start,
         )
         self.openings: typing.Final = self._new_flows.openings
+        self._half_open: typing.Final = half_open_module.HalfOpenFlows(
+            parts, self._new_flows.list_evacuated
+        )
         self._uneven: typing.Final = (
             service_times.ServiceTimes() if uneven_upstreams else None
         )
@@ -114,7 +120,10 @@
 
     def expire(self, now: float) -> None:
         """Remove expired openings and flows."""
-        self.openings.expire(now)
+        for key, opening in self.openings.expire(now):
+            if self._is_contested(key, opening):
+                self._half_open.add(key, opening, None, now)
+        self._half_open.expire(now)
         self._places.announce_waiting(now)
         self._places.expire(now)
         current = self._routes.current
@@ -125,6 +134,14 @@
                 get_request_timeout=self._get_request_timeout,
             )
 
+    def _is_contested(
+        self, key: packets.FlowKey, opening: openings_module.Opening
+    ) -> bool:
+        """Return whether several upstreams may answer an opening."""
+        return len(opening.tried) > 1 or self._places.is_contested(
+            key, opening.sequence
+        )
+
     def _get_request_timeout(self, key: packets.FlowKey) -> float:
         """Return after how many seconds a request without answer times out.
 
@@ -143,8 +160,9 @@
         """Forward a packet of an open flow to the flow's upstream."""
         key = packet.key
         state = self._catalogue.by_tag.get(packet.tag)
+        opening = None
         if len(self.openings):
-            self._complete_opening(packet, state, now)
+            opening = self._complete_opening(packet, state, now)
         known = self.flows.get(key)
         if known is None or known.state is not state:
             state = self._find_place(packet, state, known, now)
@@ -155,6 +173,8 @@
             packet, state, now
         ):
             return
+        if opening is not None:
+            self._half_open.add(key, opening, state, now)
         self._outputs.send(state.prefix + packet.raw, state.sockaddr)
         self._counters[_FORWARDED] += 1
         observation = self.flows.observe(known, packet, state, now)
@@ -168,11 +188,11 @@
         packet: packets.FlowPacket,
         state: upstreams.UpstreamState | None,
         now: float,
-    ) -> None:
+    ) -> openings_module.Opening | None:
         """Record that an opening was answered, as a later packet shows."""
         opening = self.openings.complete(packet.key, now)
         if opening is None or state is None:
-            return
+            return opening
         state.note_answer(now)
         self.opening_latency.record(now - opening.first_sent_at)
         if state not in opening.tried and (
@@ -180,6 +200,7 @@
         ):
             # Another VM has sent a copy to this upstream.
             self._decide_place(packet, state, now)
+        return opening
 
     def _find_place(
         self,
@@ -208,6 +229,7 @@
             elif tagged is not None and self._places.is_undecided(packet):
                 self._decide_place(packet, tagged, now)
         if state is not None and packet.tag != state.upstream.tag:
+            self._half_open.note_wrong_tag(packet, state, now)
             packet.tag = state.upstream.tag
             packet.raw = self._codec.write_tag(packet.raw, packet.tag)
             self._counters[_Count.CORRECTED] += 1
@@ -265,7 +287,14 @@
                 self._announce_flow(flow, place.key, now)
             return
         state = self._catalogue.by_tag.get(place.tag)
-        if flow is None or state is None or flow.state is state:
+        if state is None:
+            return
+        opening = self.openings.get(place.key)
+        if opening is not None and opening.sequence == place.sequence:
+            self._half_open.add(place.key, opening, state, now)
+        else:
+            self._half_open.note_place(place, state, now)
+        if flow is None or flow.state is state:
             return
         if packets.is_same_flow(place.acknowledged, flow.acknowledged):
             self.flows.move(flow, state, now)
--- a/packages/savoryhaven/src/_savoryhaven/datapath/new_flows.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/new_flows.py
@@ -68,7 +68,7 @@
     def receive(self, packet: packets.FlowPacket, now: float) -> None:
         """Forward an opening to an upstream, refuse it or drop it."""
         opening = self.openings.get(packet.key)
-        evacuated = self._list_evacuated(now)
+        evacuated = self.list_evacuated(now)
         if opening is None and self._is_open(packet):
             self._drop_open(packet, evacuated, now)
             return
@@ -194,7 +194,8 @@
             packet, service, selection.describe_failure(choice), now
         )
 
-    def _list_evacuated(self, now: float) -> frozenset[str]:
+    def list_evacuated(self, now: float) -> frozenset[str]:
+        """Return the failure domains that get no openings."""
         if self._evacuations is None:
             return frozenset()
         return self._evacuations.list_excluded(now)
@@ -364,7 +365,11 @@
         if opening is None:
             self._flows.remove(packet.key, now)
             self.openings.start(
-                packet.key, state, now, sequence=packet.sequence
+                packet.key,
+                state,
+                now,
+                sequence=packet.sequence,
+                raw=packet.raw,
             )
             self._parts.counters[_Count.OPENED] += 1
         else:
--- a/packages/savoryhaven/src/_savoryhaven/datapath/openings.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/openings.py
@@ -25,13 +25,14 @@
     """An opening without a later packet of its flow.
 
     ``tried`` lists the upstreams that it was sent to, in this order.
-    ``sequence`` is its sequence number.
+    ``sequence`` is its sequence number, and ``raw`` the client's packet.
     """
 
     tried: list[upstreams.UpstreamState]
     sent_at: float
     first_sent_at: float
     sequence: int = 0
+    raw: bytes = b''
 
     @property
     def state(self) -> upstreams.UpstreamState:
@@ -65,11 +66,12 @@
         now: float,
         *,
         sequence: int = 0,
+        raw: bytes = b'',
     ) -> None:
         """Record that an opening is sent to its first upstream."""
         if len(self._openings) >= self.limit:
             self._end(next(iter(self._openings)), now)
-        self._openings[key] = Opening([state], now, now, sequence)
+        self._openings[key] = Opening([state], now, now, sequence, raw)
         state.add_opening(1, now)
 
     def is_overdue(self, opening: Opening, now: float) -> bool:
@@ -93,13 +95,19 @@
         """Remove and return an opening whose flow has a later packet."""
         return self._end(key, now)
 
-    def expire(self, now: float) -> None:
-        """Remove openings that their clients have abandoned."""
+    def expire(self, now: float) -> list[tuple[packets.FlowKey, Opening]]:
+        """Remove and return openings of which nothing was heard.
+
+        Their clients have abandoned them, or go on through another VM.
+        """
+        expired = []
         while self._openings:
             key, opening = next(iter(self._openings.items()))
             if now - opening.first_sent_at < OPENING_LIFETIME_S:
-                return
+                break
             self._end(key, now)
+            expired.append((key, opening))
+        return expired
 
     def _end(self, key: packets.FlowKey, now: float) -> Opening | None:
         opening = self._openings.pop(key, None)
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/flow_places.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/flow_places.py
@@ -99,6 +99,11 @@
         entry = self._find(opening.key, opening.sequence)
         return frozenset() if entry is None else entry.tried
 
+    def is_contested(self, key: packets.FlowKey, sequence: int) -> bool:
+        """Return whether VMs sent an opening to several upstreams."""
+        entry = self._find(key, sequence)
+        return entry is not None and bool(entry.tried)
+
     def is_open(self, opening: packets.FlowPacket) -> bool:
         """Return whether the flow of an opening is known to be open."""
         entry = self._find(opening.key, opening.sequence)
--- a/packages/savoryhaven/src/_savoryhaven/telemetry/counters.py
+++ b/packages/savoryhaven/src/_savoryhaven/telemetry/counters.py
@@ -18,6 +18,7 @@
     OPENED = 'openings sent to an upstream'
     REPEATED = 'copies of openings sent to the same upstream'
     MOVED = 'copies of openings sent to a further upstream'
+    RETAGGED = 'openings sent again with the tag of the flow\'s upstream'
     CORRECTED = 'packets of open flows with the tag of another upstream'
     PLACES_ANNOUNCED = 'upstreams of flows announced to peers'
     NOT_MOVED = 'copies not sent to a further upstream: too many announced'
