VMs compare places of flows, and request those that they missed

Cause: the place of a flow was announced twice within 0.5 s, and nothing compared afterwards what VMs know.

Change: full heartbeats are followed by a digest of the places that the sender has known for 2 to 60 s; a peer with another one requests the places. They are sent with their ages, so that none lives on by being passed on.

--- a/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
+++ b/packages/savoryhaven-standins/src/savoryhaven_standins/tagged.py
@@ -256,6 +256,7 @@
         *,
         link_mbps: float = 0.0,
         incarnation: int = 1,
+        failure_domain: str = 'a',
     ) -> None:
         """Attach the VM to a network, with gossip and a store."""
         self.host = host
@@ -266,7 +267,7 @@
             routes=self.routes,
             catalogue=self.catalogue,
             places=self.places,
-            failure_domain='a',
+            failure_domain=failure_domain,
             incarnation=incarnation,
             send=self._send_to_peer,
             decode_configuration=decode_configuration,
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/flow_places.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/flow_places.py
@@ -11,11 +11,17 @@
 
 import attrs
 
+from _savoryhaven.model import digests
 from _savoryhaven.model import packets
 from _savoryhaven.telemetry import counters as counters_module
 
 # Longer than any flow, which lasts at most 60 s.
 PLACE_LIFETIME_S = 65.0
+# VMs compare the places that they have known for longer than announcements
+# and their repetition take, and not longer than flows last.
+COMPARED_MIN_S = 2.0
+COMPARED_MAX_S = 60.0
+_DIGEST_BITS = 32
 # Flows that are remembered: at 500 B each they use 2 of a VM's 25 MB.
 PLACE_LIMIT = 4_000
 # What announcements may use at once of their share of a VM's control traffic.
@@ -37,13 +43,16 @@
     """What is known of a flow from one opening.
 
     ``tried`` are the tags of upstreams that VMs sent copies to. ``place`` is
-    None until a packet of the open flow was seen.
+    None until a packet of the open flow was seen, at ``decided_at``;
+    ``digest`` is that of the place.
     """
 
     sequence: int
     noted_at: float
     tried: frozenset[int] = frozenset()
     place: packets.FlowPlace | None = None
+    decided_at: float = 0.0
+    digest: int = 0
 
 
 class FlowPlaces:
@@ -179,6 +188,50 @@
             if self._merge(place, now):
                 self.on_news(place, now)
 
+    def merge(
+        self,
+        known: typing.Iterable[packets.AgedPlace],
+        *,
+        sent_at: float,
+        now: float,
+    ) -> None:
+        """Record what a peer had known for a while at ``sent_at``.
+
+        An earlier flow from the same port does not replace a later one.
+        """
+        for aged in known:
+            decided_at = sent_at - aged.age_s
+            entry = self._entries.get(aged.place.key)
+            if entry is not None and decided_at <= entry.noted_at:
+                if entry.sequence != aged.place.sequence:
+                    continue
+            if self._merge(aged.place, decided_at):
+                self.on_news(aged.place, now)
+
+    def list_shared(self, now: float) -> tuple[packets.AgedPlace, ...]:
+        """Return the places that peers may need, the latest ones first."""
+        shared = [
+            packets.AgedPlace(entry.place, max(0.0, now - entry.decided_at))
+            for entry in self._entries.values()
+            if entry.place is not None
+            and now - entry.decided_at <= COMPARED_MAX_S
+        ]
+        shared.sort(key=lambda aged: aged.age_s)
+        return tuple(shared)
+
+    def compute_digest(self, now: float) -> int:
+        """Return a digest of what peers should know too, never zero.
+
+        It is a sum, so that it does not depend on the order of places.
+        """
+        total = sum(
+            entry.digest
+            for entry in self._entries.values()
+            if entry.place is not None
+            and COMPARED_MIN_S <= now - entry.decided_at <= COMPARED_MAX_S
+        )
+        return total % ((1 << _DIGEST_BITS) - 1) + 1
+
     def list_decided(self) -> tuple[packets.FlowPlace, ...]:
         """Return the places of open flows, for VMs that have just started."""
         return tuple(
@@ -201,11 +254,13 @@
             return None
         return entry
 
-    def _merge(self, place: packets.FlowPlace, now: float) -> bool:
+    def _merge(self, place: packets.FlowPlace, noted_at: float) -> bool:
         """Add a place; return whether it is news."""
         entry = self._entries.get(place.key)
         if entry is None or _is_replaced(entry, place):
-            entry = self._add(place, now)
+            if not self._has_room(noted_at):
+                return False
+            entry = self._add(place, noted_at)
         if place.acknowledged == packets.NOT_OPEN:
             if place.tag in entry.tried:
                 return False
@@ -214,13 +269,26 @@
         if entry.place is not None:
             return False
         entry.place = place
+        entry.decided_at = noted_at
+        entry.digest = _compute_digest(place)
         return True
 
-    def _add(self, place: packets.FlowPlace, now: float) -> _Entry:
+    def _has_room(self, noted_at: float) -> bool:
+        """Return whether there is room for a flow, or one to forget for it.
+
+        The flows that opened last matter most: upstreams still repeat the
+        answers to their openings.
+        """
+        if len(self._entries) < PLACE_LIMIT:
+            return True
+        first = next(iter(self._entries.values()))
+        return noted_at >= first.noted_at
+
+    def _add(self, place: packets.FlowPlace, noted_at: float) -> _Entry:
         self._entries.pop(place.key, None)
         if len(self._entries) >= PLACE_LIMIT:
             del self._entries[next(iter(self._entries))]
-        entry = _Entry(place.sequence, now)
+        entry = _Entry(place.sequence, noted_at)
         self._entries[place.key] = entry
         return entry
 
@@ -229,6 +297,15 @@
         self._credit_bytes -= self._announce(places, now)
 
 
+def _compute_digest(place: packets.FlowPlace) -> int:
+    """Return a digest of where a flow is.
+
+    VMs that decided it alike may have seen different packets of the flow.
+    """
+    text = f'{packets.format_flow(place.key)}@{place.tag}'
+    return digests.compute_digest(text.encode())
+
+
 def _is_replaced(entry: _Entry, place: packets.FlowPlace) -> bool:
     """Return whether a place is of another flow from the same port.
 
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
@@ -58,6 +58,11 @@
 # that there is none. If a tenth of a fleet goes on while the others start, one
 # in a hundred of these hears of none in that time.
 PLACES_UNKNOWN_MAX_S = 2.5
+# Least interval between comparisons of places that lead to a request, and what
+# a place has in an answer. Requests use half of what heartbeats leave.
+PLACES_INTERVAL_S = 1.0
+PLACE_ENCODED_BYTES = 24
+PLACES_SHARE = 0.5
 # Unreadable fields of peers whose log line is not repeated; bounds the memory
 # that datagrams from many addresses can take.
 MAX_LOGGED_FIELDS = 1_000
@@ -122,6 +127,11 @@
         self._places_unknown_hosts: set[str] = set()
         self._places_requested_at = -math.inf
         self._places_retried = False
+        self._places_compared_at = -math.inf
+        self._places_interval_s = PLACES_INTERVAL_S
+        # The places of the last answer to a peer, and when it was encoded.
+        self._places_sent: tuple[packets.FlowPlace, ...] = ()
+        self._places_encoded_at = -math.inf
         self._places_due_at = -math.inf
         # Bytes of each heartbeat since before the last full one.
         self._heartbeat_bytes: collections.deque[int] = collections.deque(
@@ -152,6 +162,11 @@
         if len(hosts) < members_module.HEARTBEAT_FANOUT:
             chosen = [*chosen, *unknown]
         sent_bytes = self._send_heartbeat(heartbeat, chosen)
+        if full and self._places_known:
+            notice = messages.make_digest_notice(
+                self._places.compute_digest(now)
+            )
+            sent_bytes += self._send_to_all(notice, chosen)
         self._heartbeat_bytes.append(sent_bytes)
 
     def announce_state(self, now: float) -> None:
@@ -352,7 +367,13 @@
     def _receive_places(
         self, received: snapshots.Snapshot, host: str, now: float
     ) -> None:
-        self._places.receive(messages.decode_places(received.body), now)
+        known = messages.decode_places(received.body)
+        sent_at = now - max(0, received.age_ms) / 1000
+        self._places.merge(known, sent_at=sent_at, now=now)
+        share = PLACES_SHARE * self.get_spare_rate()
+        self._places_interval_s = max(
+            PLACES_INTERVAL_S, len(known) * PLACE_ENCODED_BYTES / share
+        )
         self._places_asked.pop(host, None)
         if received.version == messages.PLACES_UNKNOWN:
             self._places_unknown_hosts.add(host)
@@ -362,6 +383,22 @@
         if self._places_known or not self._awaits_answer():
             self._places_due_at = min(now, self._places_due_at)
 
+    def _compare_places(self, digest: int, host: str, now: float) -> None:
+        """Request a peer's places if they differ from those of this VM.
+
+        Announcements may have been lost, or sent while the two were cut off
+        from each other. The peer requests what it lacks in the same way.
+        """
+        if not self._places_known:
+            return
+        if now - self._places_compared_at < self._places_interval_s:
+            return
+        if digest == self._places.compute_digest(now):
+            return
+        self._places_compared_at = now
+        self._counters[_Count.PLACES_COMPARED] += 1
+        self._request_places(host, now)
+
     def _awaits_answer(self) -> bool:
         """Return whether a ready peer was asked for places in vain so far."""
         return any(ready for _, ready in self._places_asked.values())
@@ -538,17 +575,21 @@
                 ],
             )
         if subject == messages.PLACES:
-            return self._list_place_parts(request)
+            return self._list_place_parts(request, now)
         return []
 
     def _list_place_parts(
-        self, request: messages.SnapshotRequest
+        self, request: messages.SnapshotRequest, now: float
     ) -> list[messages.SnapshotPart]:
         """Return the places of flows, also if there are none.
 
         A VM that has just started does not know whether there are any.
         """
-        places = self._places.list_decided()
+        shared = self._places.list_shared(now)
+        places = tuple(aged.place for aged in shared)
+        if places != self._places_sent:
+            self._places_sent = places
+            self._places_encoded_at = now
         if not (places or self.ready or self._places_known):
             return []
         return self._snapshot_cache.list_parts(
@@ -558,9 +599,9 @@
                 if self._places_known
                 else messages.PLACES_UNKNOWN
             ),
-            age_ms=-1,
+            age_ms=_age_ms(self._places_encoded_at, now),
             state=places,
-            build=lambda: messages.encode_places(places),
+            build=lambda: messages.encode_places(shared),
         )
 
     def _handle_part(
@@ -638,6 +679,8 @@
         self, notice: messages.CatalogueNotice, host: str, now: float
     ) -> None:
         self._places.receive(notice.places, now)
+        if notice.places_digest:
+            self._compare_places(notice.places_digest, host, now)
         if notice.revision <= self._catalogue.revision:
             return
         changes = records.UpstreamChanges(
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/messages.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/messages.py
@@ -124,8 +124,10 @@
 class CatalogueNotice:
     """Changes of upstreams that the sender has just received.
 
-    ``places`` are those of flows that it has just learned. A notice without
-    changes has the revision zero, which older builds ignore.
+    ``places`` are those of flows that it has just learned, and
+    ``places_digest`` is the digest of those that it knows, zero if it is not
+    sent. A notice without changes has the revision zero, which older builds
+    ignore.
     """
 
     since: int
@@ -133,6 +135,7 @@
     present: tuple[records.Upstream, ...]
     removed: tuple[str, ...]
     places: tuple[packets.FlowPlace, ...] = ()
+    places_digest: int = 0
 
 
 def make_place_notice(
@@ -142,6 +145,11 @@
     return CatalogueNotice(0, 0, (), (), places)
 
 
+def make_digest_notice(places_digest: int) -> CatalogueNotice:
+    """Return a notice that only compares the places of flows."""
+    return CatalogueNotice(0, 0, (), (), (), places_digest)
+
+
 Message = Heartbeat | SnapshotRequest | SnapshotPart | CatalogueNotice
 
 CONFIGURATION = 'configuration'
@@ -170,6 +178,7 @@
     'evacuations_age_ms': -1,
     'evacuations_digest': 0,
     'places': (),
+    'places_digest': 0,
 }
 
 
@@ -339,20 +348,24 @@
 
 
 def encode_places(
-    places: typing.Iterable[packets.FlowPlace],
+    places: typing.Iterable[packets.AgedPlace],
 ) -> list[tuple]:
-    """Return the places of flows as arrays."""
-    return [attrs.astuple(place) for place in places]
+    """Return the places of flows as arrays, with their ages in ms."""
+    return [
+        (*attrs.astuple(aged.place), round(aged.age_s * 1000))
+        for aged in places
+    ]
 
 
-def decode_places(body: typing.Any) -> tuple[packets.FlowPlace, ...]:
+def decode_places(body: typing.Any) -> tuple[packets.AgedPlace, ...]:
     """Return the places of flows in a snapshot.
 
-    Raise ``PeerError`` ``SH402`` for anything else.
+    Those from older builds have no age. Raise ``PeerError`` ``SH402`` for
+    anything else.
     """
     try:
         return tuple(
-            _build_item(packets.FlowPlace, item)
+            _build_aged_place(_check_list(item, 'place'))
             for item in _check_list(body, 'places')
         )
     except (TypeError, ValueError) as exc:
@@ -361,6 +374,13 @@
         ) from exc
 
 
+def _build_aged_place(item: typing.Sequence[typing.Any]) -> packets.AgedPlace:
+    place = _build_item(packets.FlowPlace, item)
+    ages = item[len(attrs.fields(packets.FlowPlace)) :]
+    age_ms = _check_scalar(int, ages[0], 'age') if ages else 0
+    return packets.AgedPlace(place, max(0, age_ms) / 1000)
+
+
 def _decode_upstreams(items: typing.Any) -> tuple[records.Upstream, ...]:
     return tuple(
         _build_item(records.Upstream, item)
--- a/packages/savoryhaven/src/_savoryhaven/model/packets.py
+++ b/packages/savoryhaven/src/_savoryhaven/model/packets.py
@@ -75,6 +75,14 @@
         )
 
 
+@attrs.frozen(repr=False)
+class AgedPlace:
+    """The place of an open flow, and for how many seconds it is known."""
+
+    place: FlowPlace
+    age_s: float
+
+
 class PacketCodec(typing.Protocol):
     """Decodes and encodes packets in the wire format of one platform."""
 
--- a/packages/savoryhaven/src/_savoryhaven/telemetry/counters.py
+++ b/packages/savoryhaven/src/_savoryhaven/telemetry/counters.py
@@ -21,6 +21,7 @@
     RETAGGED = 'openings sent again with the tag of the flow\'s upstream'
     CORRECTED = 'packets of open flows with the tag of another upstream'
     PLACES_ANNOUNCED = 'upstreams of flows announced to peers'
+    PLACES_COMPARED = 'requests for places of flows that peers know'
     NOT_MOVED = 'copies not sent to a further upstream: too many announced'
     SPILLED = 'openings sent to another service than their first one'
     REFUSED = 'openings reset: no route, or no upstream for it'
