Announce places of flows to VMs of other failure domains, too

Cause: a domain with four or more other VMs announced places to these only, so that VMs of other domains, which starting VMs ask as well, never knew them.

Change: two VMs of each other domain get each announcement, and pass it on by the comparison of digests.

--- a/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
@@ -43,10 +43,11 @@
 ANNOUNCED_MIN_BYTES_PER_S = 200.0
 # Peers that get a change immediately; each passes it on.
 CHANGE_FANOUT = 6
-# Peers that get the places of flows. The fabric sends a flow's packets to VMs
-# of one domain, and to the nearest others if that has none; a domain with
-# fewer other VMs than this announces to the VMs of all domains.
+# The places of flows go to all VMs of the domain, as the fabric sends a flow's
+# packets there, and to so many of each other domain, as all VMs of one may fail
+# at once. A domain with fewer other VMs than this announces to all VMs.
 PLACE_PEERS_MIN = 4
+PLACE_REMOTE_PEERS = 2
 # Peers that a VM which has started asks for the places of flows at a time: of
 # its own domain and of others, ready ones and others.
 PLACE_REQUESTS = 3
@@ -215,13 +216,17 @@
 
     def _list_place_hosts(self, now: float) -> list[str]:
         live = self.members.list_live(now)
-        near = [
-            member
-            for member in live
-            if member.heartbeat.failure_domain == self._failure_domain
-        ]
-        chosen = near if len(near) >= PLACE_PEERS_MIN else live
-        return [member.address.host for member in chosen]
+        by_domain = collections.defaultdict(list)
+        for member in live:
+            domain = member.heartbeat.failure_domain
+            by_domain[domain].append(member.address.host)
+        chosen = by_domain.pop(self._failure_domain, [])
+        if len(chosen) < PLACE_PEERS_MIN:
+            return [member.address.host for member in live]
+        for hosts in by_domain.values():
+            count = min(PLACE_REMOTE_PEERS, len(hosts))
+            chosen += self._random.sample(hosts, count)
+        return chosen
 
     def receive(self, raw: bytes, host: str, now: float) -> None:
         """Handle a datagram from a peer."""
--- a/packages/savoryhaven/tests/test_place_comparisons.py
+++ b/packages/savoryhaven/tests/test_place_comparisons.py
@@ -45,6 +45,11 @@
     return network
 
 
+def list_hosts(network: tagged.Network, count: int) -> list[str]:
+    """Return the hosts of the first VMs."""
+    return list(network.vms)[:count]
+
+
 def start_again(network: tagged.Network, hosts: typing.Iterable[str]) -> None:
     """Start VMs at the same time that remember nothing."""
     for host in hosts:
@@ -105,6 +110,29 @@
     assert not list_uninformed(network, (place,))
 
 
+# Guards against the loss of places with all VMs of the failure domain that
+# announced them, or while it stays away.
+@params((5, 5, True), (5, 5, False), (8, 4, True), (8, 4, False))
+def test_places_outlive_the_vms_of_a_failure_domain(
+    count: int, others: int, back: bool
+) -> None:
+    network = make_domains(count, others)
+    places = [make_place(number) for number in range(9)]
+    vm = network.vms['10.0.0.1']
+    for place in places:
+        vm.places.decide(place, network.clock.now)
+    network.deliver()
+    sweep(network, 0.5)
+    hosts = list_hosts(network, count)
+    if back:
+        start_again(network, hosts)
+    else:
+        for host in hosts:
+            del network.vms[host]
+    sweep(network, IN_TOUCH_S)
+    assert not list_uninformed(network, places)
+
+
 # Guards against VMs that request the same places again and again.
 def test_equal_places_are_not_requested() -> None:
     network = make_domains(6)
