An upstream that joins takes over no tag with open flows

Cause: of several upstreams with the same tag the lowest id had it, also if another one had had it before, with open flows.

Change: an upstream has three tags in a fixed order and uses the first one that no older upstream has, by the start that the store tells, then by id. Former tags still lead to their upstreams. Further tags are written once no peer of an earlier build is known.

--- a/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
@@ -160,6 +160,8 @@
         """Forward a packet of an open flow to the flow's upstream."""
         key = packet.key
         state = self._catalogue.by_tag.get(packet.tag)
+        if state is None and packet.tag != packets.NO_TAG:
+            state = self._catalogue.find_by_former_tag(packet.tag)
         opening = None
         if len(self.openings):
             opening = self._complete_opening(packet, state, now)
@@ -183,6 +185,10 @@
         elif observation is not flows_module.EMPTY_OBSERVATION:
             self._record_observation(packet, state, observation, now)
 
+    def _find_upstream(self, tag: int) -> upstreams.UpstreamState | None:
+        state = self._catalogue.by_tag.get(tag)
+        return state or self._catalogue.find_by_former_tag(tag)
+
     def _complete_opening(
         self,
         packet: packets.FlowPacket,
@@ -220,17 +226,17 @@
             packet.acknowledged, known.acknowledged
         ):
             state = known.state
-            if packet.tag != state.upstream.tag:
+            if packet.tag != state.tag:
                 self._announce_flow(known, packet.key, now)
         else:
             tag = self._places.find_tag(packet)
             if tag is not None:
-                state = self._catalogue.by_tag.get(tag)
+                state = self._find_upstream(tag)
             elif tagged is not None and self._places.is_undecided(packet):
                 self._decide_place(packet, tagged, now)
-        if state is not None and packet.tag != state.upstream.tag:
+        if state is not None and packet.tag != state.tag:
             self._half_open.note_wrong_tag(packet, state, now)
-            packet.tag = state.upstream.tag
+            packet.tag = state.tag
             packet.raw = self._codec.write_tag(packet.raw, packet.tag)
             self._counters[_Count.CORRECTED] += 1
         return state
@@ -245,7 +251,7 @@
         place = packets.FlowPlace(
             *packet.key,
             packets.precede(packet.sequence),
-            state.upstream.tag,
+            state.tag,
             packet.acknowledged,
         )
         self._announce_place(place, state, now)
@@ -260,7 +266,7 @@
         place = packets.FlowPlace(
             *key,
             flow.opening_sequence,
-            flow.state.upstream.tag,
+            flow.state.tag,
             flow.acknowledged,
         )
         self._announce_place(place, flow.state, now)
@@ -286,7 +292,7 @@
                 # The copy came late: the flow is open already.
                 self._announce_flow(flow, place.key, now)
             return
-        state = self._catalogue.by_tag.get(place.tag)
+        state = self._find_upstream(place.tag)
         if state is None:
             return
         opening = self.openings.get(place.key)
--- a/packages/savoryhaven/src/_savoryhaven/datapath/half_open.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/half_open.py
@@ -155,7 +155,7 @@
         known.retagged += 1
         known.retagged_at = now
         tagged = self._parts.codec.write_tag(
-            known.opening.raw, known.owner.upstream.tag
+            known.opening.raw, known.owner.tag
         )
         for state in states:
             if state is known.owner or not self._may_get(state, known, now):
--- a/packages/savoryhaven/src/_savoryhaven/datapath/new_flows.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/new_flows.py
@@ -402,7 +402,7 @@
     def _send_opening(
         self, packet: packets.FlowPacket, state: upstreams.UpstreamState
     ) -> None:
-        tagged = self._parts.codec.write_tag(packet.raw, state.upstream.tag)
+        tagged = self._parts.codec.write_tag(packet.raw, state.tag)
         self._parts.outputs.send(state.prefix + tagged, state.sockaddr)
 
     def _decide_without_route(
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/catalogue.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/catalogue.py
@@ -89,7 +89,13 @@
     def __init__(self, codec: packets.PacketCodec) -> None:
         self._codec: typing.Final = codec
         self.revision = 0
+        # By the tags that are written into packets.
         self.by_tag: dict[int, upstreams.UpstreamState] = {}
+        # By all tags that upstreams may have had, once one was looked up.
+        self._by_former_tag: dict[int, upstreams.UpstreamState] | None = None
+        # All tags of upstreams whose first one an older upstream has.
+        self._shared_tags: set[int] = set()
+        self._all_tags_known = False
         self._states: dict[str, upstreams.UpstreamState] = {}
         self._by_service: dict[str, list[upstreams.UpstreamState]] = {}
         # By id, the latest one last.
@@ -305,6 +311,8 @@
         if upstream.started_ms != before.started_ms:
             state.failures = 0
             state.forget_speed()
+            if state.tag in self._shared_tags:
+                self._assign_tags()
         self._start_warm_up(state, now)
         return Added(upstream) if returned else Updated(upstream)
 
@@ -335,22 +343,56 @@
         )
         self._start_warm_up(state, now)
         self._states[upstream.upstream_id] = state
-        holder = self.by_tag.setdefault(upstream.tag, state)
-        if holder is not state:
-            self._assign_tag(upstream.tag)
+        state.tag = upstream.tag
+        if self._by_former_tag is not None:
+            for tag in _list_tags(upstream):
+                self._by_former_tag.setdefault(tag, state)
+        if self.by_tag.setdefault(state.tag, state) is not state:
+            self._assign_tags()
         self._by_service.setdefault(upstream.service, []).append(state)
         return state
 
-    def _assign_tag(self, tag: int) -> None:
-        """Give a tag to the lowest id, so that all VMs decide alike."""
-        sharing = [s for s in self._states.values() if s.upstream.tag == tag]
-        if not sharing:
-            self.by_tag.pop(tag, None)
-            return
-        winner = min(sharing, key=lambda s: s.upstream.upstream_id)
-        for state in sharing:
-            state.tag_taken = state is not winner
-        self.by_tag[tag] = winner
+    def set_all_tags_known(self, known: bool) -> None:
+        """Set whether all VMs know the further tags of upstreams.
+
+        Those of older builds only know the first one: an upstream whose first
+        tag is taken gets no new flows while there are any.
+        """
+        if known != self._all_tags_known:
+            self._all_tags_known = known
+            self._assign_tags()
+
+    def _assign_tags(self) -> None:
+        """Give each upstream the first of its tags that no older one has.
+
+        All VMs decide alike, and an upstream that joins takes over no tag
+        with open flows. Few fleets have two upstreams with the same one.
+        """
+        self.by_tag.clear()
+        self._shared_tags.clear()
+        for state in sorted(self._states.values(), key=_get_seniority):
+            tags = _list_tags(state.upstream)
+            free = [tag for tag in tags if tag not in self.by_tag]
+            state.tag_taken = False
+            if free != tags:
+                self._shared_tags.update(tags)
+            if tags[0] not in free:
+                state.tag_taken = not (free and self._all_tags_known)
+            if free:
+                state.tag = free[0]
+                self.by_tag[state.tag] = state
+
+    def find_by_former_tag(self, tag: int) -> upstreams.UpstreamState | None:
+        """Return the upstream that may have had a tag, None if there is none.
+
+        It has another one since an older upstream with that has left.
+        """
+        if self._by_former_tag is None:
+            self._by_former_tag = {}
+            for state in sorted(self._states.values(), key=_get_seniority):
+                for former in _list_tags(state.upstream):
+                    self._by_former_tag.setdefault(former, state)
+        return self._by_former_tag.get(tag)
 
     def _start_warm_up(
         self, state: upstreams.UpstreamState, now: float
@@ -374,8 +416,27 @@
         upstream = state.upstream
         del self._states[upstream.upstream_id]
         self._by_service[upstream.service].remove(state)
-        if self.by_tag.get(upstream.tag) is state:
-            self._assign_tag(upstream.tag)
+        if self.by_tag.get(state.tag) is state:
+            del self.by_tag[state.tag]
+        if state.tag in self._shared_tags:
+            self._by_former_tag = None
+            self._assign_tags()
+        elif self._by_former_tag is not None:
+            for tag in _list_tags(upstream):
+                if self._by_former_tag.get(tag) is state:
+                    del self._by_former_tag[tag]
+
+
+def _list_tags(upstream: records.Upstream) -> list[int]:
+    """Return the tags that an upstream may have, in this order."""
+    return [
+        packets.derive_tag(upstream.wire_id, candidate)
+        for candidate in range(packets.TAG_CANDIDATES)
+    ]
+
+
+def _get_seniority(state: upstreams.UpstreamState) -> tuple[int, str]:
+    return state.upstream.started_ms, state.upstream.upstream_id
 
 
 def _is_news(
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/flow_places.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/flow_places.py
@@ -220,7 +220,7 @@
         return tuple(shared)
 
     def compute_digest(self, now: float) -> int:
-        """Return a digest of what peers should know too, never zero.
+        """Return a digest of what peers should know too, never 0 or 1.
 
         It is a sum, so that it does not depend on the order of places.
         """
@@ -230,7 +230,7 @@
             if entry.place is not None
             and COMPARED_MIN_S <= now - entry.decided_at <= COMPARED_MAX_S
         )
-        return total % ((1 << _DIGEST_BITS) - 1) + 1
+        return total % ((1 << _DIGEST_BITS) - 2) + 2
 
     def list_decided(self) -> tuple[packets.FlowPlace, ...]:
         """Return the places of open flows, for VMs that have just started."""
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
@@ -44,8 +44,8 @@
 # Peers that get a change immediately; each passes it on.
 CHANGE_FANOUT = 6
 # The places of flows go to all VMs of the domain, as the fabric sends a flow's
-# packets there, and to so many of each other domain, as all VMs of one may fail
-# at once. A domain with fewer other VMs than this announces to all VMs.
+# packets there, and to so many of each other domain, as all VMs of one domain
+# may fail at once. One with fewer other VMs than this announces to all VMs.
 PLACE_PEERS_MIN = 4
 PLACE_REMOTE_PEERS = 2
 # Peers that a VM which has started asks for the places of flows at a time: of
@@ -163,10 +163,11 @@
         if len(hosts) < members_module.HEARTBEAT_FANOUT:
             chosen = [*chosen, *unknown]
         sent_bytes = self._send_heartbeat(heartbeat, chosen)
-        if full and self._places_known:
-            notice = messages.make_digest_notice(
-                self._places.compute_digest(now)
-            )
+        if full:
+            digest = messages.NO_PLACES_DIGEST
+            if self._places_known:
+                digest = self._places.compute_digest(now)
+            notice = messages.make_digest_notice(digest)
             sent_bytes += self._send_to_all(notice, chosen)
         self._heartbeat_bytes.append(sent_bytes)
 
@@ -266,6 +267,7 @@
         """Remove VMs that are gone, and loads of VMs that are not live."""
         self.members.expire_members(now)
         self._older_peers.retain(self.members.list_hosts(now))
+        self._catalogue.set_all_tags_known(self._older_peers.know_all_tags)
         live = {m.address.vm_id for m in self.members.list_live(now)}
         for vm_id in self._loads.list_reporters() - live:
             self._loads.replace_reports(vm_id, ())
@@ -394,7 +396,7 @@
         Announcements may have been lost, or sent while the two were cut off
         from each other. The peer requests what it lacks in the same way.
         """
-        if not self._places_known:
+        if not self._places_known or digest == messages.NO_PLACES_DIGEST:
             return
         if now - self._places_compared_at < self._places_interval_s:
             return
@@ -685,6 +687,7 @@
     ) -> None:
         self._places.receive(notice.places, now)
         if notice.places_digest:
+            self._older_peers.note_comparison(host)
             self._compare_places(notice.places_digest, host, now)
         if notice.revision <= self._catalogue.revision:
             return
@@ -773,7 +776,7 @@
             catalogue_age_ms=_age_ms(catalogue.confirmed_at, now),
             loads=self._loads.list_own(now) if loads else None,
             suspects=tuple(
-                state.upstream.tag
+                state.tag
                 for state in catalogue.list_states()
                 if upstreams.has_failed(state, now)
             ),
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/messages.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/messages.py
@@ -145,6 +145,10 @@
     return CatalogueNotice(0, 0, (), (), places)
 
 
+# In place of the digest of places: the sender does not know them yet.
+NO_PLACES_DIGEST = 1
+
+
 def make_digest_notice(places_digest: int) -> CatalogueNotice:
     """Return a notice that only compares the places of flows."""
     return CatalogueNotice(0, 0, (), (), (), places_digest)
--- a/packages/savoryhaven/src/_savoryhaven/model/packets.py
+++ b/packages/savoryhaven/src/_savoryhaven/model/packets.py
@@ -4,12 +4,15 @@
 """
 
 import typing
+import zlib
 
 import attrs
 
 # Address and port of the client, address and port of the service.
 FlowKey = tuple[int, int, int, int]
 TAG_BITS = 32
+# Tags of an upstream: the first one that no older upstream has is used.
+TAG_CANDIDATES = 3
 # Tag of a flow that no upstream has answered yet.
 NO_TAG = 0
 # Sequence numbers are 32 bits wide and wrap around.
@@ -102,13 +105,20 @@
         """Return the id of the request that begins here, or ''."""
 
 
-def derive_tag(wire_id: int) -> int:
-    """Return the tag of the upstream with ``wire_id``.
+def derive_tag(wire_id: int, candidate: int = 0) -> int:
+    """Return a tag of the upstream with ``wire_id``.
 
-    In about 2 % of fleets with 13,000 upstreams, two upstreams share a tag;
-    only one of them gets new flows then.
+    In about 2 % of fleets with 13,000 upstreams, two upstreams share their
+    first one. Those that share the first one have different second ones.
+
+        >>> derive_tag(0x12_0000_0005), derive_tag(0x34_0000_0005)
+        (5, 5)
+        >>> derive_tag(0x12_0000_0005, 1) == derive_tag(0x34_0000_0005, 1)
+        False
     """
-    return wire_id % (1 << TAG_BITS) or 1
+    if not candidate:
+        return wire_id % (1 << TAG_BITS) or 1
+    return zlib.crc32(wire_id.to_bytes(8) + bytes([candidate])) or 1
 
 
 def precede(sequence: int) -> int:
--- a/packages/savoryhaven/src/_savoryhaven/model/records.py
+++ b/packages/savoryhaven/src/_savoryhaven/model/records.py
@@ -135,7 +135,7 @@
 
     @property
     def tag(self) -> int:
-        """Return the tag of this upstream's flows."""
+        """Return the tag of this upstream's flows, if no older one has it."""
         return packets.derive_tag(self.wire_id)
 
 
--- a/packages/savoryhaven/src/_savoryhaven/model/upstreams.py
+++ b/packages/savoryhaven/src/_savoryhaven/model/upstreams.py
@@ -38,8 +38,9 @@
     ``opening`` openings without a later packet. ``reported_load`` is the load
     that peers report, ``reported_failed_at`` the time of their last report of
     failed openings. ``lapsed`` is whether the upstream may still be alive, as
-    it was removed just after an outage of the store. ``tag_taken`` is whether
-    another upstream has the tag. ``speed_factor`` is the ratio of its service
+    it was removed just after an outage of the store. ``tag`` is written into
+    packets, ``tag_taken`` is whether an older upstream has its first one and
+    not all VMs know the others. ``speed_factor`` is the ratio of its service
     times to those of its route, ``speed`` the average of its logarithm.
     """
 
@@ -61,6 +62,7 @@
     warm_up_ends_at: float = -math.inf
     removed_at: float = math.inf
     lapsed: bool = False
+    tag: int = 0
     tag_taken: bool = False
     speed_factor: float = 1.0
     speed: averages.RunningAverage = attrs.field(
