--- a/packages/savoryhaven/src/_savoryhaven/datapath/half_open.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/half_open.py
@@ -74,10 +74,11 @@
         """Add an opening, and retag its flow where it is not open.
 
         ``owner`` has the flow, None if that is not known. Nothing is done if
-        no other upstream got the opening from this VM.
+        no other upstream is known to have got the opening.
         """
         if all(state is owner for state in opening.tried):
-            return
+            if not self._parts.places.is_contested(key, opening.sequence):
+                return
         known = self._flows.get(key)
         if known is None or known.opening is not opening:
             known = self._insert(key, opening)
