Forget half-open flows that end, or whose port is used again

An opening was repeated for up to 3.5 s after its flow had ended. It could have reached an upstream that has a later flow from the same port.

test_the_end_of_a_flow_ends_repetitions fails without the change.

--- a/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
@@ -114,6 +114,8 @@
         elif packet.opening and waited:
             self._new_flows.drop_waited(packet, now)
         elif packet.opening:
+            if len(self._half_open):
+                self._half_open.forget(packet)
             self._new_flows.receive(packet, now)
         else:
             self._receive_established(packet, now)
@@ -179,6 +181,8 @@
             self._half_open.add(key, opening, state, now)
         self._outputs.send(state.prefix + packet.raw, state.sockaddr)
         self._counters[_FORWARDED] += 1
+        if packet.closing and len(self._half_open):
+            self._half_open.forget(packet)
         observation = self.flows.observe(known, packet, state, now)
         if observation is None:
             self._counters[_Count.FLOWS_UNOBSERVED] += 1
--- a/packages/savoryhaven/src/_savoryhaven/datapath/half_open.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/half_open.py
@@ -88,6 +88,14 @@
         known.retagged = 0
         self._retag(key, known, known.opening.tried, now)
 
+    def forget(self, packet: packets.FlowPacket) -> None:
+        """Forget a flow that ends with a packet, or before an opening."""
+        known = self._flows.get(packet.key)
+        if known is None:
+            return
+        if packet.closing or packet.sequence != known.opening.sequence:
+            del self._flows[packet.key]
+
     def note_place(
         self,
         place: packets.FlowPlace,
--- a/packages/savoryhaven/tests/test_half_open.py
+++ b/packages/savoryhaven/tests/test_half_open.py
@@ -256,6 +256,27 @@
     assert race.reached.count(late) == 2
 
 
+# Guards against openings that are repeated although their flow has ended, or
+# that reach an upstream which has a later flow from the same port.
+@params(
+    {'closing': True, 'tag': 1, 'sequence': OPENING + 1},
+    {'opening': True, 'sequence': 77},
+)
+def test_the_end_of_a_flow_ends_repetitions(fields: dict[str, int]) -> None:
+    vm = make_vm()
+    race = Race()
+    late = race.open(vm)
+    vm.clock.now += 0.2
+    owner = race.open(vm, 1)
+    race.accept(vm, owner)
+    vm.receive(tagged.make_packet(acknowledged=0, **fields))
+    vm.take_sent()
+    vm.catalogue.by_tag[late].note_answer(vm.clock.now)
+    before = vm.counters[Count.RETAGGED]
+    sweep(race, vm)
+    assert vm.counters[Count.RETAGGED] == before
+
+
 def test_flows_are_forgotten_when_upstreams_give_up() -> None:
     vm = make_vm()
     race = Race()
