--- a/packages/savoryhaven/src/_savoryhaven/datapath/half_open.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/half_open.py
@@ -166,7 +166,7 @@
         tagged = self._parts.codec.write_tag(
             known.opening.raw, known.owner.tag
         )
-        for state in states:
+        for state in dict.fromkeys(states):
             if state is known.owner or not self._may_get(state, known, now):
                 continue
             self._parts.outputs.send(state.prefix + tagged, state.sockaddr)
--- a/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/gossip.py
@@ -18,6 +18,7 @@
 from _savoryhaven.knowledge import members as members_module
 from _savoryhaven.knowledge import messages
 from _savoryhaven.knowledge import older_builds
+from _savoryhaven.knowledge import place_exchange
 from _savoryhaven.knowledge import routes as routes_module
 from _savoryhaven.knowledge import snapshots
 from _savoryhaven.model import digests
@@ -43,27 +44,6 @@
 ANNOUNCED_MIN_BYTES_PER_S = 200.0
 # Peers that get a change immediately; each passes it on.
 CHANGE_FANOUT = 6
-# The places of flows go to all VMs of the domain, as the fabric sends a flow's
-# packets there, and to so many of each other domain, as all VMs of one domain
-# may fail at once. One with fewer other VMs than this announces to all VMs.
-PLACE_PEERS_MIN = 4
-PLACE_REMOTE_PEERS = 2
-# Peers that a VM which has started asks for the places of flows at a time: of
-# its own domain and of others, ready ones and others.
-PLACE_REQUESTS = 3
-# Longest wait for an answer: some round trips between failure domains.
-PLACES_WAIT_S = 0.05
-# Interval between requests until a peer that knows the places has answered.
-PLACES_RETRY_S = 0.1
-# A VM that has found no such peer within this time after its start takes it
-# that there is none. If a tenth of a fleet goes on while the others start, one
-# in a hundred of these hears of none in that time.
-PLACES_UNKNOWN_MAX_S = 2.5
-# Least interval between comparisons of places that lead to a request, and what
-# a place has in an answer. Requests use half of what heartbeats leave.
-PLACES_INTERVAL_S = 1.0
-PLACE_ENCODED_BYTES = 24
-PLACES_SHARE = 0.5
 # Unreadable fields of peers whose log line is not repeated; bounds the memory
 # that datagrams from many addresses can take.
 MAX_LOGGED_FIELDS = 1_000
@@ -112,28 +92,24 @@
             members.link_mbps
         )
         self._snapshot_cache: typing.Final = snapshots.SnapshotCache()
+        self._exchange: typing.Final = place_exchange.PlaceExchange(
+            places=places,
+            members=members,
+            failure_domain=failure_domain,
+            assembler=self._assembler,
+            cache=self._snapshot_cache,
+            send=self._send_message,
+            get_spare_rate=self.get_spare_rate,
+            counters=counters,
+            events=events,
+            source=source,
+        )
         self._loads: typing.Final = loads_module.PeerLoads(catalogue)
         self._older_peers: typing.Final = older_builds.OlderPeers(
             catalogue, evacuations
         )
         self._logged_fields: set[tuple[str, str]] = set()
         self._round = 0
-        self._started_at = math.inf
-        # Whether this VM knows the places of flows that its peers know.
-        self._places_known = False
-        # The hosts that were asked for places and have not answered, by
-        # whether they are in the same failure domain and ready.
-        self._places_asked: dict[str, tuple[bool, bool]] = {}
-        # The hosts that did not know the places either.
-        self._places_unknown_hosts: set[str] = set()
-        self._places_requested_at = -math.inf
-        self._places_retried = False
-        self._places_compared_at = -math.inf
-        self._places_interval_s = PLACES_INTERVAL_S
-        # The places of the last answer to a peer, and when it was encoded.
-        self._places_sent: tuple[packets.FlowPlace, ...] = ()
-        self._places_encoded_at = -math.inf
-        self._places_due_at = -math.inf
         # Bytes of each heartbeat since before the last full one.
         self._heartbeat_bytes: collections.deque[int] = collections.deque(
             maxlen=HEARTBEATS_PER_FULL
@@ -142,9 +118,7 @@
 
     def send_heartbeats(self, seeds: typing.Sequence[str], now: float) -> None:
         """Send a heartbeat to a few peers, and to seeds if peers are few."""
-        self._started_at = min(now, self._started_at)
-        if not self._places_known:
-            self._retry_places(now)
+        self._exchange.retry(now)
         hosts = self.members.list_hosts(now)
         unknown = [host for host in seeds if host not in hosts]
         chosen = hosts
@@ -164,11 +138,8 @@
             chosen = [*chosen, *unknown]
         sent_bytes = self._send_heartbeat(heartbeat, chosen)
         if full:
-            digest = messages.NO_PLACES_DIGEST
-            if self._places_known:
-                digest = self._places.compute_digest(now)
-            notice = messages.make_digest_notice(digest)
-            sent_bytes += self._send_to_all(notice, chosen)
+            comparison = self._exchange.make_comparison(now)
+            sent_bytes += self._send_to_all(comparison, chosen)
         self._heartbeat_bytes.append(sent_bytes)
 
     def announce_state(self, now: float) -> None:
@@ -203,7 +174,7 @@
         Until then this VM may send packets of open flows to the wrong
         upstream. VMs that are not ready have just started, too.
         """
-        return now < self._places_due_at
+        return self._exchange.is_awaiting(now)
 
     def announce_places(
         self, places: tuple[packets.FlowPlace, ...], now: float
@@ -212,23 +183,9 @@
 
         Return how many bytes were sent.
         """
-        hosts = self._list_place_hosts(now)
+        hosts = self._exchange.list_hosts(now)
         return self._send_to_all(messages.make_place_notice(places), hosts)
 
-    def _list_place_hosts(self, now: float) -> list[str]:
-        live = self.members.list_live(now)
-        by_domain = collections.defaultdict(list)
-        for member in live:
-            domain = member.heartbeat.failure_domain
-            by_domain[domain].append(member.address.host)
-        chosen = by_domain.pop(self._failure_domain, [])
-        if len(chosen) < PLACE_PEERS_MIN:
-            return [member.address.host for member in live]
-        for hosts in by_domain.values():
-            count = min(PLACE_REMOTE_PEERS, len(hosts))
-            chosen += self._random.sample(hosts, count)
-        return chosen
-
     def receive(self, raw: bytes, host: str, now: float) -> None:
         """Handle a datagram from a peer."""
         try:
@@ -290,8 +247,7 @@
         self, heartbeat: messages.Heartbeat, host: str, now: float
     ) -> None:
         self._older_peers.note_heartbeat(heartbeat, host)
-        if not self._places_known:
-            self._learn_places(heartbeat, host, now)
+        self._exchange.learn(heartbeat, host, now)
         if self.members.note_heartbeat(heartbeat, host, now):
             self._events.emit(
                 'peer_joined',
@@ -316,114 +272,6 @@
         self._compare_catalogue(heartbeat, host, now)
         self._compare_evacuations(heartbeat, host, now)
 
-    def _learn_places(
-        self, heartbeat: messages.Heartbeat, host: str, now: float
-    ) -> None:
-        """Request what a peer knows of flows, soon after the start.
-
-        The fabric sends packets of flows that are open already to a VM that
-        starts. Peers that have just started do not know these flows either:
-        their answers are not sufficient, and those that are not ready may
-        not answer.
-        """
-        near = heartbeat.failure_domain == self._failure_domain
-        kind = near, heartbeat.ready
-        if self._places_asked.get(host) == kind:
-            return
-        if host in self._places_unknown_hosts:
-            return
-        if list(self._places_asked.values()).count(kind) >= PLACE_REQUESTS:
-            return
-        self._places_asked[host] = kind
-        knows = heartbeat.ready and not digests.is_weak(
-            heartbeat.catalogue_digest
-        )
-        if knows and self._places_due_at == -math.inf:
-            self._places_due_at = now + PLACES_WAIT_S
-        self._request_places(host, now)
-
-    def _retry_places(self, now: float) -> None:
-        """Request places again if no peer that knows them has answered.
-
-        All peers may have started at the same time, so that none knows them.
-        """
-        if now - self._started_at > PLACES_UNKNOWN_MAX_S:
-            self._note_places_known(source='')
-            return
-        if now - self._places_requested_at < PLACES_RETRY_S:
-            return
-        ready = [
-            member.address.host
-            for member in self.members.list_live(now)
-            if member.heartbeat.ready
-        ]
-        if not ready:
-            return
-        if self._awaits_answer() and not self._places_retried:
-            self._places_retried = True
-            # Not again, as packets wait in the socket meanwhile.
-            self._places_due_at = now + PLACES_WAIT_S
-        self._request_places(self._random.choice(ready), now)
-
-    def _request_places(self, host: str, now: float) -> None:
-        self._places_requested_at = now
-        self._send_message(
-            self._assembler.make_request(messages.PLACES, 0, host), host
-        )
-
-    def _receive_places(
-        self, received: snapshots.Snapshot, host: str, now: float
-    ) -> None:
-        known = messages.decode_places(received.body)
-        sent_at = now - max(0, received.age_ms) / 1000
-        self._places.merge(known, sent_at=sent_at, now=now)
-        share = PLACES_SHARE * self.get_spare_rate()
-        self._places_interval_s = max(
-            PLACES_INTERVAL_S, len(known) * PLACE_ENCODED_BYTES / share
-        )
-        self._places_asked.pop(host, None)
-        if received.version == messages.PLACES_UNKNOWN:
-            self._places_unknown_hosts.add(host)
-        else:
-            self._assembler.forget(messages.PLACES)
-            self._note_places_known(source=host)
-        if self._places_known or not self._awaits_answer():
-            self._places_due_at = min(now, self._places_due_at)
-
-    def _compare_places(self, digest: int, host: str, now: float) -> None:
-        """Request a peer's places if they differ from those of this VM.
-
-        Announcements may have been lost, or sent while the two were cut off
-        from each other. The peer requests what it lacks in the same way.
-        """
-        if not self._places_known or digest == messages.NO_PLACES_DIGEST:
-            return
-        if now - self._places_compared_at < self._places_interval_s:
-            return
-        if digest == self._places.compute_digest(now):
-            return
-        self._places_compared_at = now
-        self._counters[_Count.PLACES_COMPARED] += 1
-        self._request_places(host, now)
-
-    def _awaits_answer(self) -> bool:
-        """Return whether a ready peer was asked for places in vain so far."""
-        return any(ready for _, ready in self._places_asked.values())
-
-    def _note_places_known(self, *, source: str) -> None:
-        """Record that this VM knows the places of flows that peers know.
-
-        ``source`` is the host that sent them, empty if no peer knows any.
-        """
-        if self._places_known:
-            return
-        self._places_known = True
-        self._places_asked.clear()
-        self._places_unknown_hosts.clear()
-        self._events.emit(
-            'places_known', source=source, places=len(self._places)
-        )
-
     def _compare_configuration(
         self, heartbeat: messages.Heartbeat, host: str, now: float
     ) -> None:
@@ -582,35 +430,9 @@
                 ],
             )
         if subject == messages.PLACES:
-            return self._list_place_parts(request, now)
+            return self._exchange.list_parts(request, now, ready=self.ready)
         return []
 
-    def _list_place_parts(
-        self, request: messages.SnapshotRequest, now: float
-    ) -> list[messages.SnapshotPart]:
-        """Return the places of flows, also if there are none.
-
-        A VM that has just started does not know whether there are any.
-        """
-        shared = self._places.list_shared(now)
-        places = tuple(aged.place for aged in shared)
-        if places != self._places_sent:
-            self._places_sent = places
-            self._places_encoded_at = now
-        if not (places or self.ready or self._places_known):
-            return []
-        return self._snapshot_cache.list_parts(
-            request,
-            version=(
-                messages.PLACES_KNOWN
-                if self._places_known
-                else messages.PLACES_UNKNOWN
-            ),
-            age_ms=_age_ms(self._places_encoded_at, now),
-            state=places,
-            build=lambda: messages.encode_places(shared),
-        )
-
     def _handle_part(
         self, part: messages.SnapshotPart, host: str, now: float
     ) -> None:
@@ -627,7 +449,7 @@
             case messages.CATALOGUE:
                 self._apply_catalogue(snapshot, host, now)
             case messages.PLACES:
-                self._receive_places(snapshot, host, now)
+                self._exchange.receive(snapshot, host, now)
 
     def _apply_configuration(
         self, received: snapshots.Snapshot, host: str, now: float
@@ -688,7 +510,7 @@
         self._places.receive(notice.places, now)
         if notice.places_digest:
             self._older_peers.note_comparison(host)
-            self._compare_places(notice.places_digest, host, now)
+            self._exchange.compare(notice.places_digest, host, now)
         if notice.revision <= self._catalogue.revision:
             return
         changes = records.UpstreamChanges(
--- a/packages/savoryhaven/tests/test_flow_orders.py
+++ b/packages/savoryhaven/tests/test_flow_orders.py
@@ -57,8 +57,10 @@
 
 
 class Upstream:
-    """An upstream. If it is not ``updating``, its repeated answers keep the
-    tag of the first copy of an opening.
+    """An upstream.
+
+    If it is not ``updating``, the answers that it repeats keep the tag of the
+    first copy of an opening.
     """
 
     def __init__(self, world: 'World', number: int, *, updating: bool) -> None:
