--- a/packages/savoryhaven/src/_savoryhaven/addresses.py
+++ b/packages/savoryhaven/src/_savoryhaven/addresses.py
@@ -10,14 +10,14 @@
 PARSE_CACHE_SIZE = 4_096
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class Address:
     """An IPv4 address and a port."""
 
     host: str
     port: int
 
-    @functools.cached_property
+    @property
     def sockaddr(self) -> tuple[str, int]:
         """Return the host and port as sockets take them."""
         return self.host, self.port
--- a/packages/savoryhaven/src/_savoryhaven/errors.py
+++ b/packages/savoryhaven/src/_savoryhaven/errors.py
@@ -11,7 +11,7 @@
 import attrs
 
 
-@attrs.frozen(kw_only=True)
+@attrs.frozen(kw_only=True, repr=False)
 class Problem:
     """One problem, its location and a hint how to fix it."""
 
