Send openings again also if the first packet of the flow comes late

A VM that was suspended over the handshake had stopped waiting for the flow's first packet, and did not tell the other upstreams where the flow is when it came.

test_the_first_packet_may_come_late fails without the change.

--- a/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/forwarder.py
@@ -115,7 +115,7 @@
             self._new_flows.drop_waited(packet, now)
         elif packet.opening:
             if len(self._half_open):
-                self._half_open.forget(packet)
+                self._half_open.note_opening(packet)
             self._new_flows.receive(packet, now)
         else:
             self._receive_established(packet, now)
@@ -179,10 +179,10 @@
             return
         if opening is not None:
             self._half_open.add(key, opening, state, now)
+        if len(self._half_open):
+            self._half_open.note_packet(packet, state, now)
         self._outputs.send(state.prefix + packet.raw, state.sockaddr)
         self._counters[_FORWARDED] += 1
-        if packet.closing and len(self._half_open):
-            self._half_open.forget(packet)
         observation = self.flows.observe(known, packet, state, now)
         if observation is None:
             self._counters[_Count.FLOWS_UNOBSERVED] += 1
--- a/packages/savoryhaven/src/_savoryhaven/datapath/half_open.py
+++ b/packages/savoryhaven/src/_savoryhaven/datapath/half_open.py
@@ -88,12 +88,29 @@
         known.retagged = 0
         self._retag(key, known, known.opening.tried, now)
 
-    def forget(self, packet: packets.FlowPacket) -> None:
-        """Forget a flow that ends with a packet, or before an opening."""
+    def note_opening(self, packet: packets.FlowPacket) -> None:
+        """Forget a flow if its port is used for another one."""
+        known = self._flows.get(packet.key)
+        if known is not None and packet.sequence != known.opening.sequence:
+            del self._flows[packet.key]
+
+    def note_packet(
+        self,
+        packet: packets.FlowPacket,
+        owner: upstreams.UpstreamState,
+        now: float,
+    ) -> None:
+        """Record where a packet of an open flow is sent.
+
+        The first one may come after this VM has stopped waiting for it, if
+        the VM was suspended. After the last one nothing has to be corrected.
+        """
         known = self._flows.get(packet.key)
         if known is None:
             return
-        if packet.closing or packet.sequence != known.opening.sequence:
+        if known.owner is None:
+            self.add(packet.key, known.opening, owner, now)
+        if packet.closing:
             del self._flows[packet.key]
 
     def note_place(
--- a/packages/savoryhaven/tests/test_half_open.py
+++ b/packages/savoryhaven/tests/test_half_open.py
@@ -217,6 +217,39 @@
     race.send(make_vm(), payload_bytes=90)
 
 
+# Guards against a VM that was suspended over the handshake, and that reads the
+# first packet once it has stopped waiting for it.
+def test_the_first_packet_may_come_late() -> None:
+    vm = make_vm()
+    race = Race()
+    late = race.open(vm)
+    vm.clock.now += 0.2
+    owner = race.open(vm, 1)
+    vm.clock.now += 2.0
+    vm.forwarder.expire(vm.clock.now)
+    race.accept(vm, owner)
+    race.repeat_answers(late)
+    race.send(make_vm(), payload_bytes=90)
+
+
+# Guards against copies through VMs that are cut off from each other: the one
+# that sees the flow open does not know where the other has sent its copy.
+def test_a_vm_that_is_cut_off_corrects_the_copy_of_another() -> None:
+    vms = make_fleet(4)
+    race = Race()
+    first = race.open(vms[0])
+    vms[0].network.cut.add(vms[0].host)
+    vms[1].clock.now += 0.2
+    load(vms[1], first)
+    second = race.open(vms[1], 1)
+    race.accept(vms[1], second)
+    vms[1].clock.now += 1.0
+    race.repeat_answers(first)
+    race.send(vms[1], payload_bytes=90)
+    race.repeat_answers(first)
+    race.send(make_vm(), payload_bytes=90)
+
+
 # Guards against a flow that is taken by an upstream which takes no new flows
 # any more, if the first copy of the opening had not arrived there.
 @params({'draining': True}, {'gone': True})
