--- a/packages/savoryhaven/src/_savoryhaven/operation/pages.py
+++ b/packages/savoryhaven/src/_savoryhaven/operation/pages.py
@@ -221,6 +221,8 @@
 ) -> dict[str, typing.Any]:
     return {
         **attrs.asdict(state.upstream),
+        'tag': state.tag,
+        'tag_taken': state.tag_taken,
         'outstanding': state.outstanding,
         'opening': state.opening,
         'reported_load': state.reported_load,
