An upstream of unknown age comes after all others with its tag

An entry without the start of its upstream made it the oldest, so that it would take over a shared tag with open flows.

test_an_upstream_of_unknown_age_takes_over_no_open_flows fails without the change. Tags are assigned anew only if some are shared when peers of an older build come or go.

--- a/packages/savoryhaven/src/_savoryhaven/knowledge/catalogue.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/catalogue.py
@@ -360,7 +360,8 @@
         """
         if known != self._all_tags_known:
             self._all_tags_known = known
-            self._assign_tags()
+            if self._shared_tags:
+                self._assign_tags()
 
     def _assign_tags(self) -> None:
         """Give each upstream the first of its tags that no older one has.
@@ -435,8 +436,11 @@
     ]
 
 
-def _get_seniority(state: upstreams.UpstreamState) -> tuple[int, str]:
-    return state.upstream.started_ms, state.upstream.upstream_id
+def _get_seniority(state: upstreams.UpstreamState) -> tuple[bool, int, str]:
+    """Return what sorts older upstreams first, those of unknown age last."""
+    upstream = state.upstream
+    unknown = upstream.started_ms <= 0
+    return unknown, upstream.started_ms, upstream.upstream_id
 
 
 def _is_news(
--- a/packages/savoryhaven/tests/test_shared_tags.py
+++ b/packages/savoryhaven/tests/test_shared_tags.py
@@ -150,6 +150,14 @@
     assert send_request(vm, tag, port=40_002) == OLDER.host
 
 
+# Guards against an upstream whose entry does not say when it started, and that
+# would count as the oldest.
+def test_an_upstream_of_unknown_age_takes_over_no_open_flows() -> None:
+    joining = attrs.evolve(JOINING, started_ms=0)
+    _, tag = open_flow(make_vm(OLDER))
+    assert send_request(make_vm(OLDER, joining), tag) == OLDER.host
+
+
 # Guards against a flow that reaches another service.
 def test_upstreams_of_two_services_share_no_flows() -> None:
     vault = attrs.evolve(JOINING, service='vault')
