--- a/packages/savoryhaven/src/_savoryhaven/knowledge/flow_places.py
+++ b/packages/savoryhaven/src/_savoryhaven/knowledge/flow_places.py
@@ -233,7 +233,7 @@
         return total % ((1 << _DIGEST_BITS) - 2) + 2
 
     def list_decided(self) -> tuple[packets.FlowPlace, ...]:
-        """Return the places of open flows, for VMs that have just started."""
+        """Return the places of open flows, those that have ended included."""
         return tuple(
             entry.place
             for entry in self._entries.values()
--- a/packages/savoryhaven/tests/test_flow_orders.py
+++ b/packages/savoryhaven/tests/test_flow_orders.py
@@ -330,12 +330,6 @@
                 f'{holder.record.host}, by {running.vm.host}'
             )
 
-    def is_settled(self, seconds: float) -> bool:
-        """Return whether no flow has opened lately or is about to."""
-        return all(
-            self.now - flow.opened_at > seconds for flow in self.flows.values()
-        )
-
     def use_flows(self, seconds: float) -> None:
         """Send requests, and open some flows whose answers are lost."""
         ends_at = self.now + seconds
@@ -377,6 +371,7 @@
 
 
 def draw_hosts(world: World, count: int) -> list[str]:
+    """Return some VMs."""
     return world.draw.sample(list(world.vms), count)
 
 
