--- a/review/standins3/deployment.py
+++ b/review/standins3/deployment.py
@@ -89,6 +89,9 @@
         hosts: typing.Mapping[str, int],
         slots: int = 3,
         work_s: float = 0.055,
+        zones: tuple[str, ...] = ('zone-a',),
+        settings: typing.Mapping[str, typing.Any] | None = None,
+        service_fields: typing.Mapping[str, typing.Any] | None = None,
     ) -> None:
         self.store = store_module.Store()
         self.router = Router(self)
@@ -99,6 +102,10 @@
         self._vms = vms
         self._host_counts = hosts
         self._slots = slots
+        self._zones = zones
+        # Further settings of all VMs, and fields of services.
+        self._settings = settings or {}
+        self._service_fields = service_fields or {}
         self._work_s = work_s
         self._subnet = 64 + os.getpid() % 128
         ports = _find_ports(4)
@@ -196,6 +203,7 @@
                         'connection_limit': 2_000,
                         'protocol': 'h1',
                         'tls': False,
+                        **self._service_fields,
                     }
                     for name in names
                 ],
@@ -220,7 +228,7 @@
             self,
             f'i-{0x90_0000_0000 + number * 0x1_0001_0003:010x}',
             service,
-            'zone-a',
+            self._zones[number % len(self._zones)],
             (self.make_host(2, number), 8_367),
             slots=self._slots,
             work_s=self._work_s,
@@ -271,9 +279,10 @@
     def _make_settings(self, name: str) -> dict[str, typing.Any]:
         """Return settings as ``deploy/settings.template`` has them."""
         host = self.vm_hosts[name]
+        number = int(name.removeprefix('vm-'))
         return {
             'vm_id': name,
-            'failure_domain': 'zone-a',
+            'failure_domain': self._zones[number % len(self._zones)],
             'flow_place': 'tag',
             'data_address': f'{host}:{self.data_port}',
             'operator_address': f'{host}:9464',
@@ -289,6 +298,7 @@
             'link_mbps': 1000.0,
             'stop': {'grace_s': 6},
             'plugins': ['savoryhaven_platform'],
+            **self._settings,
         }
 
     def signal_vm(self, name: str, number: signal.Signals) -> None:
@@ -341,7 +351,9 @@
     try:
         site, broken, extra = asyncio.run(work())
     except Exception as exc:  # noqa: B902 - the case could not run
-        (folder / 'record.txt').write_text(f'the case could not run: {exc!r}\n')
+        (folder / 'record.txt').write_text(
+            f'the case could not run: {exc!r}\n'
+        )
         print(f'the case could not run: {exc!r}', file=sys.stderr)
         return NOT_RUN
     lines = [f'trouble: {"yes" if TROUBLE else "no"}']
--- a/review/standins3/store.py
+++ b/review/standins3/store.py
@@ -36,11 +36,25 @@
     deleted: bool
 
 
+class Copy(typing.NamedTuple):
+    """All objects of a store as of a revision."""
+
+    revision: int
+    objects: dict[str, dict[str, _Item]]
+
+
 class Store:
-    """A store that the script writes to directly."""
+    """A store that the script writes to directly.
+
+    While it is ``away`` it resets all connections.
+    """
 
     def __init__(self) -> None:
         self.revision = 100
+        self.era = 1
+        self.away = False
+        # Revisions before this one are no longer in the history.
+        self._first_revision = 0
         self._objects: dict[str, dict[str, _Item]] = {}
         self._history: list[_Event] = []
         self._changed = asyncio.Event()
@@ -76,6 +90,21 @@
             gone = item._replace(revision=self.revision)
             self._record(_Event(kind, gone, True))
 
+    def take_copy(self) -> Copy:
+        """Return a copy of all objects."""
+        objects = {kind: dict(items) for kind, items in self._objects.items()}
+        return Copy(self.revision, objects)
+
+    def restore(self, copy: Copy) -> None:
+        """Come back from a copy; what was written since is lost."""
+        self.revision = copy.revision
+        self._objects = {
+            kind: dict(items) for kind, items in copy.objects.items()
+        }
+        self._history.clear()
+        self._first_revision = copy.revision
+        self.era += 1
+
     def _record(self, event: _Event) -> None:
         self._history.append(event)
         del self._history[:-HISTORY_EVENTS]
@@ -89,9 +118,13 @@
             head = await reader.readuntil(b'\r\n\r\n')
             target = head.split(b' ', 2)[1].decode()
             status, body = await self._answer(target)
+            if self.away:
+                writer.transport.abort()
+                return
             writer.write(
                 f'HTTP/1.1 {status} OK\r\nContent-Type: application/json\r\n'
                 f'Content-Length: {len(body)}\r\n'
+                f'Store-Era: {self.era}\r\n'
                 'Connection: close\r\n\r\n'.encode()
                 + body
             )
@@ -121,8 +154,9 @@
     async def _watch(
         self, kind: str, since: int, wait_s: float
     ) -> tuple[int, bytes]:
-        if since > self.revision:
+        if not self._first_revision <= since <= self.revision:
             return 410, b'{}'
+        era = self.era
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + wait_s
         while True:
@@ -133,6 +167,8 @@
                 if event.kind == kind and event.item.revision > since
             ]
             left_s = ends_at - loop.time()
+            if self.era != era:
+                return 410, b'{}'
             if events or left_s <= 0:
                 break
             try:
