--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,7 +3,7 @@
 # library alone, so that only their syntax is checked, without writing files.
 set -e
 cd "$(dirname "$0")"
-python3 -S -P - standins3/*.py 1[1-5]/case.py <<'EOF'
+python3 -S -P - standins3/*.py 1[1-5]/*.py <<'EOF'
 import sys
 
 for path in sys.argv[1:]:
--- a/review/standins3/deployment.py
+++ b/review/standins3/deployment.py
@@ -342,7 +342,9 @@
 
 
 def run(
-    work: typing.Callable[[], typing.Coroutine], folder: pathlib.Path
+    work: typing.Callable[[], typing.Coroutine],
+    folder: pathlib.Path,
+    record: str = 'record.txt',
 ) -> int:
     """Run a case; write its record; return the exit status.
 
@@ -351,9 +353,7 @@
     try:
         site, broken, extra = asyncio.run(work())
     except Exception as exc:  # noqa: B902 - the case could not run
-        (folder / 'record.txt').write_text(
-            f'the case could not run: {exc!r}\n'
-        )
+        (folder / record).write_text(f'the case could not run: {exc!r}\n')
         print(f'the case could not run: {exc!r}', file=sys.stderr)
         return NOT_RUN
     lines = [f'trouble: {"yes" if TROUBLE else "no"}']
@@ -361,6 +361,6 @@
     lines += [f'broken: {line}' for line in broken]
     lines += extra
     lines += [json.dumps(note) for note in site.notes]
-    (folder / 'record.txt').write_text('\n'.join(lines) + '\n')
+    (folder / record).write_text('\n'.join(lines) + '\n')
     print('\n'.join(lines[: 2 + len(broken) + len(extra)]))
     return BROKEN if broken else HELD
--- a/review/standins3/hosts.py
+++ b/review/standins3/hosts.py
@@ -56,8 +56,10 @@
         self._flows: dict[tuple, _Flow] = {}
         self._tasks: set[asyncio.Task] = set()
         self._socket: socket.socket | None = None
-        self._sequence = 0
         self.born = site.born_ms()
+        # How long the host is cold after a start, and until when it is.
+        self.cold_s = 0.0
+        self._cold_until = 0.0
 
     @property
     def alive(self) -> bool:
@@ -69,10 +71,18 @@
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
         self._socket.bind(self.address)
-        asyncio.get_running_loop().add_reader(self._socket, self._read)
+        loop = asyncio.get_running_loop()
+        loop.add_reader(self._socket, self._read)
+        self._cold_until = loop.time() + self.cold_s
         self.register()
         self._spawn(self._beat())
 
+    def start_again(self, cold_s: float) -> None:
+        """Start under the same id; nothing of before is known."""
+        self.born = self.site.born_ms()
+        self.cold_s = cold_s
+        self.start()
+
     def register(self) -> None:
         """Write the entry."""
         self.site.store.put('servers', self.name, self.make_entry())
@@ -80,6 +90,7 @@
     def make_entry(self) -> dict[str, typing.Any]:
         """Return the entry as it stands in the store."""
         host, port = self.address
+        cold_s = self._cold_until - asyncio.get_running_loop().time()
         return {
             'service': self.service,
             'address': f'{host}:{port}',
@@ -87,7 +98,7 @@
             'version': 'v1',
             'capacity_slots': self.slots,
             'state': self.state,
-            'cold_remaining_ms': 0,
+            'cold_remaining_ms': max(0, round(cold_s * 1000)),
             'sequence_number': 1,
             'born': self.born,
         }
