--- a/review/standins3/deployment.py
+++ b/review/standins3/deployment.py
@@ -107,7 +107,8 @@
         self._settings = settings or {}
         self._service_fields = service_fields or {}
         self._work_s = work_s
-        self._subnet = 64 + os.getpid() % 128
+        # The project's own stand-ins use 64 to 191.
+        self._subnet = 200 + os.getpid() % 50
         ports = _find_ports(4)
         self.data_port, self.ready_port, self.peer_port, self.store_port = (
             ports
